--- /dev/null
+++ b/packages/guavabarrow-core/src/guavabarrow_core/allowance.py
@@ -0,0 +1,222 @@
+"""Whole-fleet rates: a domain ledger lends tokens that VMs spend.
+
+A team's rate and burst are split over the failure domains. In each domain the
+holder of the ledger lease keeps one token bucket per team and grants tokens to VMs
+on demand. Tokens that are out count against the burst, so at no moment are there
+more tokens anywhere than the burst, and no more are created than the rate.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+GRANT_TTL_S = 1.0
+PREFETCH_S = 0.1
+DEMAND_SMOOTHING_S = 0.5
+LEND_RESERVE_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Tokens lent to a VM.
+
+    Parameters
+    ----------
+    tokens : float
+        Number of tokens, possibly 0.
+    ttl_s : float
+        Seconds after the request was sent during which they may be spent.
+    retry_after_s : float
+        Seconds until more tokens can be expected if fewer were granted than asked.
+    """
+
+    tokens: float
+    ttl_s: float
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class Loan:
+    """Tokens that a VM may still spend."""
+
+    tokens: float
+    expires_at: float
+
+
+@dataclass(slots=True)
+class DomainBucket:
+    """The holder's bucket of one team in one failure domain.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Share of the team's rate.
+    burst : float
+        Share of the team's burst.
+    now : float
+        Monotonic time of creation. The bucket starts empty, because a predecessor
+        may have granted everything it had.
+    """
+
+    rate_per_s: float
+    burst: float
+    now: float
+    level: float = 0.0
+    loan_by_vm: dict[str, Loan] = field(default_factory=dict)
+    _demand_per_s: float = 0.0
+    _demand_at: float = 0.0
+
+    @property
+    def outstanding(self) -> float:
+        """Tokens that VMs may still spend."""
+        return sum(loan.tokens for loan in self.loan_by_vm.values())
+
+    def set_limits(self, *, rate_per_s: float, burst: float, now: float) -> None:
+        """Change rate and burst; tokens above the new burst are discarded."""
+        self._refill(now)
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.level = min(self.level, max(0.0, burst - self.outstanding))
+
+    def grant(
+        self,
+        vm: str,
+        *,
+        wanted: float,
+        held: float,
+        now: float,
+        ttl_s: float = GRANT_TTL_S,
+    ) -> Grant:
+        """Lend tokens to a VM.
+
+        Parameters
+        ----------
+        vm : str
+            Borrower.
+        wanted : float
+            Tokens asked for.
+        held : float
+            Tokens from earlier grants that it still holds.
+        now : float
+            Monotonic time of the holder.
+        ttl_s : float
+            Lifetime of the grant, bounded by the holder's lease.
+
+        Returns
+        -------
+        Grant
+            As many tokens as the bucket has.
+        """
+        self._refill(now)
+        self._record_demand(wanted, now)
+        tokens = min(wanted, self.level)
+        self.level -= tokens
+        expires_at = now + ttl_s
+        known = self.loan_by_vm.get(vm)
+        if known is not None:
+            held = min(held, known.tokens)
+            expires_at = max(expires_at, known.expires_at)
+        else:
+            held = 0.0
+        self.loan_by_vm[vm] = Loan(held + tokens, expires_at)
+        missing = max(0.0, wanted - tokens)
+        retry_after_s = missing / self.rate_per_s if self.rate_per_s > 0 else 1.0
+        return Grant(tokens, ttl_s, retry_after_s)
+
+    def lend(self, wanted: float, now: float) -> float:
+        """Give tokens to another domain's ledger, keeping what is needed here.
+
+        Parameters
+        ----------
+        wanted : float
+            Tokens that the other domain asks for.
+        now : float
+            Monotonic time.
+
+        Returns
+        -------
+        float
+            Tokens given; they leave this bucket for good.
+        """
+        self._refill(now)
+        reserve = min(self.burst, self._recent_demand(now) * LEND_RESERVE_S)
+        tokens = max(0.0, min(wanted, self.level - reserve))
+        self.level -= tokens
+        return tokens
+
+    def receive(self, tokens: float, now: float) -> None:
+        """Add tokens given by another domain, up to the burst share."""
+        self._refill(now)
+        room = max(0.0, self.burst - self.outstanding - self.level)
+        self.level += min(tokens, room)
+
+    def _refill(self, now: float) -> None:
+        for vm in [
+            vm for vm, loan in self.loan_by_vm.items() if loan.expires_at <= now
+        ]:
+            del self.loan_by_vm[vm]
+        elapsed_s = max(0.0, now - self.now)
+        self.now = max(now, self.now)
+        ceiling = max(0.0, self.burst - self.outstanding)
+        self.level = min(ceiling, self.level + elapsed_s * self.rate_per_s)
+
+    def _record_demand(self, wanted: float, now: float) -> None:
+        recent = self._recent_demand(now)
+        self._demand_per_s = recent + wanted / DEMAND_SMOOTHING_S
+        self._demand_at = now
+
+    def _recent_demand(self, now: float) -> float:
+        decay = max(0.0, 1.0 - (now - self._demand_at) / DEMAND_SMOOTHING_S)
+        return self._demand_per_s * decay
+
+
+@dataclass(slots=True)
+class TokenCache:
+    """Tokens of one team that a VM holds.
+
+    Examples
+    --------
+    >>> cache = TokenCache()
+    >>> cache.spend(1.0, now=0.0)
+    False
+    >>> cache.add(2.0, expires_at=1.0, now=0.0)
+    >>> cache.spend(1.0, now=0.5), cache.spend(1.0, now=1.0)
+    (True, False)
+    """
+
+    tokens: float = 0.0
+    expires_at: float = 0.0
+    _spent_per_s: float = 0.0
+    _spent_at: float = 0.0
+
+    def spend(self, cost: float, now: float) -> bool:
+        """Take tokens, False if too few are held."""
+        self._record_demand(cost, now)
+        self._expire(now)
+        if self.tokens < cost:
+            return False
+        self.tokens -= cost
+        return True
+
+    def add(self, tokens: float, *, expires_at: float, now: float) -> None:
+        """Add granted tokens; the earlier expiry holds for all."""
+        self._expire(now)
+        if self.tokens > 0:
+            expires_at = min(expires_at, self.expires_at)
+        self.tokens += tokens
+        self.expires_at = expires_at
+
+    def wanted(self, waiting: float, now: float) -> float:
+        """Return how many tokens to ask for, given the waiting cost."""
+        decay = max(0.0, 1.0 - (now - self._spent_at) / DEMAND_SMOOTHING_S)
+        prefetch = self._spent_per_s * decay * PREFETCH_S
+        return max(0.0, waiting + prefetch - self.tokens)
+
+    def _expire(self, now: float) -> None:
+        if now >= self.expires_at:
+            self.tokens = 0.0
+
+    def _record_demand(self, cost: float, now: float) -> None:
+        decay = max(0.0, 1.0 - (now - self._spent_at) / DEMAND_SMOOTHING_S)
+        self._spent_per_s = self._spent_per_s * decay + cost / DEMAND_SMOOTHING_S
+        self._spent_at = now
--- /dev/null
+++ b/packages/guavabarrow-core/src/guavabarrow_core/configuration_chain.py
@@ -0,0 +1,225 @@
+"""The chain of configuration versions, as one VM holds it and as operators extend it."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavabarrow_core.exceptions import ConfigurationConflict, ConfigurationError
+from guavabarrow_core.fleet import Fleet
+from guavabarrow_core.fleet_change import Change, Revision, apply_revision
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+RETAINED_REVISIONS = 256
+MAX_WRITE_ATTEMPTS = 8
+
+
+class ConfigurationChain:
+    """Applies revisions in order and never goes back.
+
+    Examples
+    --------
+    >>> chain = ConfigurationChain()
+    >>> chain.install(Fleet(version=4)), chain.install(Fleet(version=3))
+    (True, False)
+    >>> chain.fleet.version
+    4
+    """
+
+    def __init__(self) -> None:
+        self.fleet = Fleet()
+        self._revisions: deque[Revision] = deque(maxlen=RETAINED_REVISIONS)
+
+    @property
+    def version(self) -> int:
+        """Version in force at this VM, 0 while it has none."""
+        return self.fleet.version
+
+    def install(self, fleet: Fleet) -> bool:
+        """Replace the configuration by a newer snapshot.
+
+        Parameters
+        ----------
+        fleet : Fleet
+            Snapshot from the store or a peer.
+
+        Returns
+        -------
+        bool
+            False if it is not newer than the version in force.
+        """
+        if fleet.version <= self.version:
+            return False
+        self.fleet = fleet
+        self._revisions.clear()
+        return True
+
+    def extend(self, revisions: Iterable[Revision]) -> int:
+        """Apply the revisions that follow the version in force.
+
+        Parameters
+        ----------
+        revisions : iterable of Revision
+            May overlap with what is known; a gap ends the run.
+
+        Returns
+        -------
+        int
+            Number of revisions applied.
+        """
+        applied = 0
+        for revision in sorted(revisions, key=lambda item: item.version):
+            if revision.version <= self.version:
+                continue
+            if revision.version != self.version + 1:
+                break
+            self.fleet = apply_revision(self.fleet, revision)
+            self._revisions.append(revision)
+            applied += 1
+        return applied
+
+    def since(self, version: int) -> list[Revision] | None:
+        """Return the revisions after ``version``.
+
+        Returns
+        -------
+        list of Revision or None
+            None if they are no longer retained and a snapshot is needed.
+        """
+        if version >= self.version:
+            return []
+        newer = [item for item in self._revisions if item.version > version]
+        if not newer or newer[0].version != version + 1:
+            return None
+        return newer
+
+
+@dataclass(frozen=True, slots=True)
+class ReadChain:
+    """Read the head and the revisions after ``after_version`` from the store."""
+
+    after_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRevision:
+    """Append ``revision`` on condition that the head is the version before it."""
+
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is in the chain at ``version``."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChainRead:
+    """Answer to :class:`ReadChain`: revisions in order up to the head."""
+
+    revisions: tuple[Revision, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WriteAnswered:
+    """Answer to :class:`WriteRevision`; a refused one found another head."""
+
+    written: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerLost:
+    """The store did not answer; the write may have taken effect."""
+
+
+OperationEvent = ChainRead | WriteAnswered | AnswerLost
+OperationAction = ReadChain | WriteRevision | Accepted
+
+
+class ChangeOperation:
+    """One operator's change, resolved through lost answers and races.
+
+    Parameters
+    ----------
+    base : Fleet
+        Version on which the operator decided.
+    changes : tuple of Change
+        Applied all or none.
+    operation_id : str
+        Unique id of this request.
+    author : str
+        Who makes the change.
+    """
+
+    def __init__(
+        self,
+        base: Fleet,
+        changes: tuple[Change, ...],
+        *,
+        operation_id: str,
+        author: str,
+    ) -> None:
+        self._base = base
+        self._attempts = 0
+        self.revision = Revision(base.version + 1, operation_id, author, changes)
+        apply_revision(base, self.revision)
+
+    def start(self) -> OperationAction:
+        """Return the first action."""
+        return ReadChain(self._base.version)
+
+    def step(self, event: OperationEvent) -> OperationAction:
+        """Take the answer to the last action.
+
+        Parameters
+        ----------
+        event : OperationEvent
+            What the store answered.
+
+        Returns
+        -------
+        OperationAction
+            Next action; :class:`Accepted` ends the operation.
+
+        Raises
+        ------
+        ConfigurationConflict
+            If another change took the version.
+        ConfigurationError
+            If the store does not answer; the change may be in the chain, and the
+            same operation id tells.
+        """
+        match event:
+            case ChainRead(revisions):
+                return self._on_chain(revisions)
+            case WriteAnswered(written):
+                if written:
+                    return Accepted(self.revision.version)
+                return ReadChain(self._base.version)
+            case AnswerLost():
+                return self._retry()
+
+    def _on_chain(self, revisions: tuple[Revision, ...]) -> OperationAction:
+        for revision in revisions:
+            if revision.operation_id == self.revision.operation_id:
+                return Accepted(revision.version)
+        if revisions:
+            raise ConfigurationConflict(
+                expected=self._base.version, actual=revisions[-1].version
+            )
+        return WriteRevision(self.revision)
+
+    def _retry(self) -> OperationAction:
+        self._attempts += 1
+        if self._attempts >= MAX_WRITE_ATTEMPTS:
+            raise ConfigurationError(
+                "The platform's store does not answer, so the outcome of the change "
+                "is unknown. Repeat it with the same operation id "
+                f"{self.revision.operation_id}."
+            )
+        return ReadChain(self._base.version)
--- /dev/null
+++ b/packages/guavabarrow-core/src/guavabarrow_core/exceptions.py
@@ -0,0 +1,227 @@
+"""Typed failures shared by all parts.
+
+Every failure that reaches a caller is a :class:`Refusal`: it names a stable code,
+an HTTP status and whether the request ran.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Ran(Enum):
+    """Whether a request had an effect."""
+
+    NOT_RUN = "not_run"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    RAN = "ran"
+
+
+class GuavabarrowError(Exception):
+    """Base class of all failures raised by guavabarrow."""
+
+
+class TokenError(GuavabarrowError):
+    """A session token that is malformed, forged or belongs to another team."""
+
+
+class ConfigurationError(GuavabarrowError):
+    """A configuration document or change that is not valid."""
+
+
+class ConfigurationConflict(GuavabarrowError):
+    """A change was based on a version that is no longer the head.
+
+    Parameters
+    ----------
+    expected : int
+        Version the change was based on.
+    actual : int
+        Version found at the head of the chain.
+    """
+
+    def __init__(self, *, expected: int, actual: int) -> None:
+        super().__init__(
+            f"The change was based on version {expected}, the head is {actual}. "
+            "Read the configuration again and repeat the change."
+        )
+        self.expected = expected
+        self.actual = actual
+
+
+class Refusal(GuavabarrowError):
+    """A request that got no result.
+
+    Parameters
+    ----------
+    detail : str
+        What happened and what the caller can do about it.
+    retry_after_s : float or None
+        Seconds after which a repeat may succeed.
+
+    Attributes
+    ----------
+    code : str
+        Stable machine-readable name.
+    status : int
+        HTTP status code.
+    ran : Ran
+        Whether the request had an effect.
+    """
+
+    code = "internal"
+    status = 500
+    ran = Ran.NOT_RUN
+
+    def __init__(self, detail: str, *, retry_after_s: float | None = None) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+class BadRequest(Refusal):
+    """The request is malformed."""
+
+    code = "bad_request"
+    status = 400
+
+
+class BodyTooLarge(Refusal):
+    """The body exceeds the configured limit."""
+
+    code = "body_too_large"
+    status = 413
+
+
+class RequestIdRequired(Refusal):
+    """A non-idempotent write came without a request id."""
+
+    code = "request_id_required"
+    status = 400
+
+
+class RequestIdExpired(Refusal):
+    """The request id lies outside of the retention window of outcomes."""
+
+    code = "request_id_expired"
+    status = 400
+
+
+class RequestIdReused(Refusal):
+    """The request id was used before with another body."""
+
+    code = "request_id_reused"
+    status = 409
+
+
+class BadToken(Refusal):
+    """The session token cannot be used."""
+
+    code = "bad_session_token"
+    status = 400
+
+
+class KeyInStatement(Refusal):
+    """The body contains the caller's key, which targets must never see."""
+
+    code = "key_in_statement"
+    status = 400
+
+
+class Unauthenticated(Refusal):
+    """The key is missing, unknown or withdrawn."""
+
+    code = "unauthenticated"
+    status = 401
+
+
+class ServiceNotAllowed(Refusal):
+    """The team does not reach the named service."""
+
+    code = "service_not_allowed"
+    status = 403
+
+
+class UnknownRoute(Refusal):
+    """No resource has this path."""
+
+    code = "unknown_route"
+    status = 404
+
+
+class UnknownTransaction(Refusal):
+    """The transaction has ended, expired or was opened at another VM."""
+
+    code = "unknown_transaction"
+    status = 404
+
+
+class StatementFailed(Refusal):
+    """The database rejected the statement; it had no effect."""
+
+    code = "statement_failed"
+    status = 422
+
+
+class RateExceeded(Refusal):
+    """The team is above its rate and burst."""
+
+    code = "rate_exceeded"
+    status = 429
+
+
+class Draining(Refusal):
+    """This VM or its failure domain takes no new work."""
+
+    code = "draining"
+    status = 503
+
+
+class NoConfiguration(Refusal):
+    """This VM holds no configuration yet."""
+
+    code = "no_configuration"
+    status = 503
+
+
+class Overloaded(Refusal):
+    """The queue in front of the database is full or the deadline cannot be met."""
+
+    code = "overloaded"
+    status = 503
+
+
+class DeadlineExceeded(Refusal):
+    """The deadline passed before the request was sent to a database."""
+
+    code = "deadline_exceeded"
+    status = 504
+
+
+class NoPrimary(Refusal):
+    """The database group has no primary that this VM can use."""
+
+    code = "no_primary"
+    status = 503
+
+
+class NoReplicaFresh(Refusal):
+    """No reachable database satisfies the session token or the stated age."""
+
+    code = "no_database_fresh_enough"
+    status = 503
+
+
+class OutcomeUnknown(Refusal):
+    """The request may have run; repeat it with the same request id to learn."""
+
+    code = "outcome_unknown"
+    status = 504
+    ran = Ran.OUTCOME_UNKNOWN
+
+
+class TransactionLost(Refusal):
+    """The connection of an open transaction broke; the database rolls it back."""
+
+    code = "transaction_lost"
+    status = 409
--- /dev/null
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fair_queue.py
@@ -0,0 +1,160 @@
+"""Start-time fair queueing of statements in front of a database.
+
+Source: Goyal, Vin and Cheng, "Start-time Fair Queuing: A Scheduling Algorithm for
+Integrated Services Packet Switching Networks", SIGCOMM 1996.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from guavabarrow_core.exceptions import DeadlineExceeded, Overloaded
+
+T = TypeVar("T")
+
+MAX_QUEUED_PER_TEAM = 128
+INITIAL_SERVICE_S = 0.005
+SERVICE_SMOOTHING = 0.05
+
+
+@dataclass(slots=True)
+class QueuedItem(Generic[T]):
+    """An item that waits for a connection."""
+
+    value: T
+    team: str
+    deadline: float
+    start_tag: float
+
+
+@dataclass(slots=True)
+class TeamQueue(Generic[T]):
+    """Waiting items of one team in order of arrival."""
+
+    weight: float
+    finish_tag: float = 0.0
+    items: deque[QueuedItem[T]] = field(default_factory=deque)
+
+
+class FairQueue(Generic[T]):
+    """Queue that serves teams in proportion to their weights.
+
+    Parameters
+    ----------
+    max_per_team : int
+        Longest queue of one team.
+
+    Examples
+    --------
+    >>> queue = FairQueue()
+    >>> for number in range(3):
+    ...     _ = queue.push(f"big{number}", team="big", weight=1, deadline=9, now=0)
+    >>> _ = queue.push("small", team="small", weight=1, deadline=9, now=0)
+    >>> [queue.pop(now=0.0).value for _ in range(3)]
+    ['big0', 'small', 'big1']
+    """
+
+    def __init__(self, max_per_team: int = MAX_QUEUED_PER_TEAM) -> None:
+        self._by_team: dict[str, TeamQueue[T]] = {}
+        self._virtual_time = 0.0
+        self._max_per_team = max_per_team
+        self._service_s = INITIAL_SERVICE_S
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    @property
+    def drain_s(self) -> float:
+        """Estimated seconds until an item pushed now is served."""
+        return self._service_s * (self._length + 1)
+
+    def push(
+        self, value: T, *, team: str, weight: float, deadline: float, now: float
+    ) -> QueuedItem[T]:
+        """Append an item to its team's queue.
+
+        Parameters
+        ----------
+        value : object
+            What waits.
+        team : str
+            Team that is charged.
+        weight : float
+            Share of the team relative to other teams.
+        deadline : float
+            Monotonic time after which the item is not worth serving.
+        now : float
+            Monotonic time.
+
+        Returns
+        -------
+        QueuedItem
+            Handle for :meth:`discard`.
+
+        Raises
+        ------
+        DeadlineExceeded
+            If the deadline has passed.
+        Overloaded
+            If the team's queue is full.
+        """
+        if now >= deadline:
+            raise DeadlineExceeded("The deadline passed before the request was queued.")
+        queue = self._by_team.setdefault(team, TeamQueue(weight))
+        queue.weight = weight
+        if len(queue.items) >= self._max_per_team:
+            raise Overloaded(
+                "The team's queue in front of the database is full.",
+                retry_after_s=self.drain_s,
+            )
+        start_tag = max(self._virtual_time, queue.finish_tag)
+        queue.finish_tag = start_tag + 1.0 / weight
+        item = QueuedItem(value, team, deadline, start_tag)
+        queue.items.append(item)
+        self._length += 1
+        return item
+
+    def pop(self, *, now: float) -> QueuedItem[T] | None:
+        """Remove the item with the lowest start tag.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time.
+
+        Returns
+        -------
+        QueuedItem or None
+            Its deadline may have passed; None if the queue is empty.
+        """
+        waiting = [queue for queue in self._by_team.values() if queue.items]
+        if not waiting:
+            return None
+        chosen = min(waiting, key=lambda queue: queue.items[0].start_tag)
+        item = chosen.items.popleft()
+        self._length -= 1
+        self._virtual_time = item.start_tag
+        self._forget_idle(item.team)
+        return item
+
+    def discard(self, item: QueuedItem[T]) -> bool:
+        """Remove a waiting item, False if it was popped before."""
+        queue = self._by_team.get(item.team)
+        if queue is None or item not in queue.items:
+            return False
+        queue.items.remove(item)
+        self._length -= 1
+        self._forget_idle(item.team)
+        return True
+
+    def record_service(self, interval_s: float) -> None:
+        """Feed the interval between two completions into the drain estimate."""
+        self._service_s += SERVICE_SMOOTHING * (interval_s - self._service_s)
+
+    def _forget_idle(self, team: str) -> None:
+        queue = self._by_team[team]
+        if not queue.items and queue.finish_tag <= self._virtual_time:
+            del self._by_team[team]
--- /dev/null
+++ b/packages/guavabarrow-core/src/guavabarrow_core/group_view.py
@@ -0,0 +1,247 @@
+"""What one VM knows of a database group, and what follows from it."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from guavabarrow_core.log_position import Lineage, LogPosition
+
+MAX_SAMPLES = 512
+
+
+class Role(Enum):
+    """Role that a database reports."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+class Durability(Enum):
+    """Whether an entry survives every possible promotion."""
+
+    DURABLE = "durable"
+    PENDING = "pending"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class DatabaseReport:
+    """State of one database as of a probe.
+
+    Parameters
+    ----------
+    database : str
+        Name of the database.
+    role : Role
+        Role at the time of the answer.
+    promised_term : int
+        Highest term it has promised; it refuses log of lower terms.
+    lineage : Lineage
+        Content of its log.
+    link_age_s : float or None
+        Replicas: seconds since they heard from a primary; None if the link is broken.
+    open_transactions : int
+        Transactions open on client connections.
+    sent_at : float
+        Monotonic time at which the probe was sent.
+    received_at : float
+        Monotonic time at which the answer arrived.
+    """
+
+    database: str
+    role: Role
+    promised_term: int
+    lineage: Lineage
+    link_age_s: float | None
+    open_transactions: int
+    sent_at: float
+    received_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class PrimarySample:
+    """The primary's position, proven current at a time.
+
+    Parameters
+    ----------
+    as_of : float
+        At this time no later primary could acknowledge a write.
+    position : LogPosition
+        Covers every write that was acknowledged before ``as_of``.
+    seen_at : float
+        Time at which the sample was taken.
+    """
+
+    as_of: float
+    position: LogPosition
+    seen_at: float
+
+
+class GroupView:
+    """Latest reports of a group's databases.
+
+    Parameters
+    ----------
+    databases : iterable of str
+        All members of the group, reachable or not.
+    """
+
+    def __init__(self, databases: tuple[str, ...]) -> None:
+        self.databases = databases
+        self.by_database: dict[str, DatabaseReport] = {}
+        self._samples: deque[PrimarySample] = deque(maxlen=MAX_SAMPLES)
+
+    @property
+    def majority(self) -> int:
+        """Number of databases that every two majorities share at least one of."""
+        return len(self.databases) // 2 + 1
+
+    @property
+    def highest_promised_term(self) -> int:
+        """Highest term that any database has reported."""
+        terms = [report.promised_term for report in self.by_database.values()]
+        return max(terms, default=0)
+
+    @property
+    def primary(self) -> DatabaseReport | None:
+        """Report of the primary of the highest term, None if it is superseded."""
+        primaries = [
+            report
+            for report in self.by_database.values()
+            if report.role is Role.PRIMARY
+            and report.promised_term == report.lineage.last.term
+        ]
+        if not primaries:
+            return None
+        newest = max(primaries, key=lambda report: report.lineage.last.term)
+        fenced = [
+            report
+            for report in self.by_database.values()
+            if report.promised_term > newest.lineage.last.term
+        ]
+        return None if len(fenced) >= self.majority else newest
+
+    @property
+    def confirmed_at(self) -> float:
+        """Time up to which the primary is proven not to be superseded."""
+        return self._samples[-1].as_of if self._samples else float("-inf")
+
+    def set_databases(self, databases: tuple[str, ...]) -> None:
+        """Replace the members, forgetting reports of those removed."""
+        self.databases = databases
+        for name in set(self.by_database) - set(databases):
+            del self.by_database[name]
+
+    def record(self, report: DatabaseReport) -> bool:
+        """Store a report unless a newer one is known.
+
+        Parameters
+        ----------
+        report : DatabaseReport
+            Answer to a probe.
+
+        Returns
+        -------
+        bool
+            False if the report was outdated.
+        """
+        known = self.by_database.get(report.database)
+        if known is not None and known.sent_at > report.sent_at:
+            return False
+        self.by_database[report.database] = report
+        self._sample(report.received_at)
+        return True
+
+    def durability(self, position: LogPosition) -> Durability:
+        """Judge whether an entry can still be lost.
+
+        An entry is durable once a majority of the databases hold an entry of one
+        and the same last term at or after it. Counting entries of an older term
+        alone is not enough: a later primary may still overwrite them (Ongaro and
+        Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014,
+        section 5.4.2).
+
+        Parameters
+        ----------
+        position : LogPosition
+            Entry written by the primary of ``position.term``.
+
+        Returns
+        -------
+        Durability
+            LOST if a durable later term does not contain the entry.
+        """
+        durable = self.durable_lineage()
+        if durable is None or durable.last.term < position.term:
+            return Durability.PENDING
+        if durable.contains(position):
+            return Durability.DURABLE
+        if durable.last.term > position.term:
+            return Durability.LOST
+        return Durability.PENDING
+
+    def durable_lineage(self) -> Lineage | None:
+        """Return the log up to the highest entry known to be durable."""
+        by_term: dict[int, list[Lineage]] = {}
+        for report in self.by_database.values():
+            by_term.setdefault(report.lineage.last.term, []).append(report.lineage)
+        for term in sorted(by_term, reverse=True):
+            lineages = sorted(
+                by_term[term], key=lambda lineage: lineage.last_index, reverse=True
+            )
+            if term > 0 and len(lineages) >= self.majority:
+                return lineages[self.majority - 1]
+        return None
+
+    def proven_as_of(self, report: DatabaseReport) -> float:
+        """Return the time up to which a database holds all acknowledged writes.
+
+        Only monotonic time of this VM and answers of a majority enter, so neither
+        clock steps, lag nor a superseded primary can make data look younger.
+
+        Parameters
+        ----------
+        report : DatabaseReport
+            Report of a replica or primary.
+
+        Returns
+        -------
+        float
+            Monotonic time; minus infinity if nothing is proven.
+        """
+        for sample in reversed(self._samples):
+            if report.lineage.satisfies(sample.position):
+                return sample.as_of
+        return float("-inf")
+
+    def first_seen_at(self, position: LogPosition) -> float | None:
+        """Return when the primary was first seen at or after ``position``."""
+        first = None
+        for sample in reversed(self._samples):
+            if sample.position < position:
+                break
+            first = sample.seen_at
+        return first
+
+    def _sample(self, now: float) -> None:
+        primary = self.primary
+        if primary is None:
+            return
+        term = primary.lineage.last.term
+        confirmations = sorted(
+            (
+                report.sent_at
+                for report in self.by_database.values()
+                if report.promised_term <= term
+            ),
+            reverse=True,
+        )
+        if len(confirmations) < self.majority:
+            return
+        as_of = min(primary.sent_at, confirmations[self.majority - 1])
+        if as_of > self.confirmed_at:
+            self._samples.append(PrimarySample(as_of, primary.lineage.last, now))
--- /dev/null
+++ b/packages/guavabarrow-core/src/guavabarrow_core/lease.py
@@ -0,0 +1,229 @@
+"""A lease in the platform's table service, counted on monotonic clocks.
+
+No clock is compared with another VM's. The holder counts from the moment before it
+asked for the renewal; a successor counts from the moment after it saw the last
+change of the row. The successor therefore always waits longer than the holder acts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+LEASE_S = 1.5
+RENEW_S = 0.5
+CLOCK_MARGIN_S = 0.2
+MAX_TICK_GAP_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRow:
+    """Row of the lease in the table service.
+
+    Parameters
+    ----------
+    holder : str
+        VM that holds the lease, empty if released.
+    epoch : int
+        Advances with every change of holder.
+    renewal : int
+        Advances with every renewal.
+    revision : int
+        Version of the row for conditional writes, 0 if it does not exist.
+    """
+
+    holder: str = ""
+    epoch: int = 0
+    renewal: int = 0
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RowRead:
+    """The table service answered a read or a conditional write with the row.
+
+    Parameters
+    ----------
+    row : LeaseRow
+        Row as it is now.
+    asked_at : float
+        Monotonic time before the operation was sent.
+    written : bool
+        Whether this operation wrote the row. Only then is ``asked_at`` earlier than
+        the moment at which a successor can have seen it.
+    """
+
+    row: LeaseRow
+    asked_at: float
+    written: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFailed:
+    """The table service did not answer; a write may have taken effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTick:
+    """Time has passed.
+
+    Parameters
+    ----------
+    wants : bool
+        Whether this VM should hold the lease if nobody does.
+    holder_silent : bool
+        Whether the known holder's heartbeats have stopped.
+    known_epoch : int
+        Highest epoch that heartbeats mention.
+    """
+
+    wants: bool
+    holder_silent: bool
+    known_epoch: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRow:
+    """Read the row."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRow:
+    """Write the row on condition that its revision is ``row.revision``."""
+
+    row: LeaseRow
+
+
+LeaseEvent = RowRead | StoreFailed | LeaseTick
+LeaseAction = ReadRow | WriteRow
+
+
+class Lease:
+    """State machine of one lease at one VM.
+
+    While the table service is down nobody can take a lease over, so the holder goes
+    on as long as it was never paused. Partitions separate failure domains, and a
+    lease is contested only inside one: a VM that hears the holder's heartbeats
+    never takes over.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    """
+
+    def __init__(self, vm: str) -> None:
+        self._vm = vm
+        self.row = LeaseRow()
+        self._row_changed_at: float | None = None
+        self._valid_until = float("-inf")
+        self._asked_at = float("-inf")
+        self._pending = False
+        self._store_down = False
+        self._suspended_until = float("-inf")
+        self._ticked_at: float | None = None
+        self._superseded = False
+
+    def holds(self, now: float) -> bool:
+        """Tell whether this VM may act as the holder at ``now``."""
+        if self.row.holder != self._vm or self._superseded:
+            return False
+        if self._ticked_at is None or now - self._ticked_at > MAX_TICK_GAP_S:
+            return False
+        if now < self._valid_until:
+            return True
+        return self._store_down and now >= self._suspended_until
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the lease as last read."""
+        return self.row.epoch
+
+    def step(self, event: LeaseEvent, now: float) -> list[LeaseAction]:
+        """Take one event.
+
+        Parameters
+        ----------
+        event : LeaseEvent
+            What happened.
+        now : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of LeaseAction
+            At most one store operation is outstanding.
+        """
+        match event:
+            case RowRead():
+                self._on_row(event, now)
+                return []
+            case StoreFailed():
+                self._pending = False
+                self._store_down = True
+                return []
+            case LeaseTick():
+                return self._on_tick(event, now)
+
+    def release(self, now: float) -> list[LeaseAction]:
+        """Give the lease up, so that a successor need not wait."""
+        if not self.holds(now):
+            return []
+        released = LeaseRow("", self.row.epoch, self.row.renewal, self.row.revision)
+        self._valid_until = float("-inf")
+        self._superseded = True
+        return [WriteRow(released)]
+
+    def _on_row(self, event: RowRead, now: float) -> None:
+        self._pending = False
+        self._store_down = False
+        changed = event.row != self.row
+        self.row = event.row
+        if changed or self._row_changed_at is None:
+            self._row_changed_at = now
+        if event.row.holder != self._vm:
+            self._superseded = False
+            return
+        if event.written:
+            self._superseded = False
+            self._valid_until = max(self._valid_until, event.asked_at + LEASE_S)
+
+    def _on_tick(self, event: LeaseTick, now: float) -> list[LeaseAction]:
+        self._notice_pause(now)
+        if event.known_epoch > self.row.epoch:
+            self._superseded = True
+        if self._pending or now - self._asked_at < RENEW_S:
+            return []
+        self._asked_at = now
+        self._pending = True
+        if self.row.holder == self._vm and not self._superseded:
+            return [WriteRow(self._renewed())]
+        if event.wants and self._may_take_over(event, now):
+            return [WriteRow(self._taken_over())]
+        if event.wants or event.holder_silent:
+            return [ReadRow()]
+        self._pending = False
+        return []
+
+    def _notice_pause(self, now: float) -> None:
+        paused = self._ticked_at is not None and now - self._ticked_at > MAX_TICK_GAP_S
+        if paused:
+            self._suspended_until = now + LEASE_S
+            self._valid_until = float("-inf")
+            self._row_changed_at = None
+        self._ticked_at = now
+
+    def _may_take_over(self, event: LeaseTick, now: float) -> bool:
+        if self._row_changed_at is None or self._superseded:
+            return False
+        if not self.row.holder:
+            return True
+        unchanged_s = now - self._row_changed_at
+        return event.holder_silent and unchanged_s >= LEASE_S + CLOCK_MARGIN_S
+
+    def _renewed(self) -> LeaseRow:
+        return LeaseRow(
+            self._vm, self.row.epoch, self.row.renewal + 1, self.row.revision
+        )
+
+    def _taken_over(self) -> LeaseRow:
+        return LeaseRow(self._vm, self.row.epoch + 1, 0, self.row.revision)
--- /dev/null
+++ b/packages/guavabarrow-core/src/guavabarrow_core/membership.py
@@ -0,0 +1,193 @@
+"""Membership of VMs by gossiped heartbeats.
+
+Each VM advances its own counter and spreads what it has heard. A member is judged
+only by how long its counter has stood still while this VM itself was awake, so a
+VM that was paused does not exclude everybody else when it resumes.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+HEARTBEAT_S = 0.2
+SUSPECT_S = 1.0
+DEAD_S = 3.0
+FORGET_S = 600.0
+FANOUT = 3
+PAUSE_S = 0.6
+
+
+class MemberState(Enum):
+    """Judgement of this VM about a member."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """What a VM says of itself.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    domain : str
+        Its failure domain.
+    peer_address : str
+        Address for messages between VMs.
+    admin_address : str
+        Address of its operator interface, ``ip:port``.
+    incarnation : int
+        Start of the process, nanoseconds since 1970.
+    counter : int
+        Advances with every heartbeat.
+    version : int
+        Configuration version in force at the VM.
+    leaving : bool
+        Whether the VM takes no new work.
+    ledger_epoch : int
+        Epoch of its domain's ledger lease that it knows.
+    ledger_holder : bool
+        Whether it holds that lease now.
+    """
+
+    vm: str
+    domain: str
+    peer_address: str
+    admin_address: str
+    incarnation: int
+    counter: int
+    version: int = 0
+    leaving: bool = False
+    ledger_epoch: int = 0
+    ledger_holder: bool = False
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Incarnation and counter; the higher one is the newer heartbeat."""
+        return (self.incarnation, self.counter)
+
+
+class Membership:
+    """Table of the members that this VM has heard of.
+
+    Parameters
+    ----------
+    own : Heartbeat
+        First heartbeat of this VM.
+    seed : int
+        Seed for the choice of gossip partners.
+    now : float
+        Monotonic time.
+    """
+
+    def __init__(self, own: Heartbeat, *, seed: int, now: float) -> None:
+        self.own = own
+        self.by_vm: dict[str, Heartbeat] = {own.vm: own}
+        self.paused_at: float | None = None
+        self._silent_s: dict[str, float] = {own.vm: 0.0}
+        self._random = Random(seed)
+        self._ticked_at = now
+
+    def beat(self, now: float, **changes: object) -> list[Heartbeat]:
+        """Advance the own heartbeat and age the others.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time.
+        **changes : object
+            Fields of the own heartbeat to change.
+
+        Returns
+        -------
+        list of Heartbeat
+            Digest to send to the partners.
+        """
+        elapsed_s = now - self._ticked_at
+        self._ticked_at = now
+        if elapsed_s > PAUSE_S:
+            self.paused_at = now
+            elapsed_s = HEARTBEAT_S
+        for vm in self._silent_s:
+            self._silent_s[vm] += elapsed_s
+        self._forget()
+        self.own = msgspec.structs.replace(
+            self.own, counter=self.own.counter + 1, **changes
+        )
+        self.by_vm[self.own.vm] = self.own
+        self._silent_s[self.own.vm] = 0.0
+        return [
+            beat for vm, beat in self.by_vm.items() if self._silent_s[vm] < SUSPECT_S
+        ]
+
+    def merge(self, heartbeats: Iterable[Heartbeat]) -> None:
+        """Take over heartbeats that are newer than those known."""
+        for beat in heartbeats:
+            if beat.vm == self.own.vm:
+                continue
+            known = self.by_vm.get(beat.vm)
+            if known is None or beat.order > known.order:
+                self.by_vm[beat.vm] = beat
+                self._silent_s[beat.vm] = 0.0
+
+    def state_of(self, vm: str) -> MemberState:
+        """Return this VM's judgement about ``vm``."""
+        silent_s = self._silent_s.get(vm, FORGET_S)
+        if silent_s >= DEAD_S:
+            return MemberState.DEAD
+        if silent_s >= SUSPECT_S:
+            return MemberState.SUSPECT
+        return MemberState.ALIVE
+
+    def silent_s(self, vm: str) -> float:
+        """Return for how long ``vm`` was silent while this VM was awake, seconds."""
+        return self._silent_s.get(vm, FORGET_S)
+
+    def alive(self, domain: str | None = None) -> list[Heartbeat]:
+        """Return the members judged alive, this VM among them.
+
+        Parameters
+        ----------
+        domain : str, optional
+            Restricts the result to one failure domain.
+        """
+        return [
+            beat
+            for vm, beat in self.by_vm.items()
+            if self.state_of(vm) is MemberState.ALIVE and domain in (None, beat.domain)
+        ]
+
+    def partners(self) -> list[Heartbeat]:
+        """Choose partners for one round of gossip.
+
+        Returns
+        -------
+        list of Heartbeat
+            Up to ``FANOUT`` live members and at most one that seems dead, so that
+            two sides of a healed partition find each other.
+        """
+        live, dead = [], []
+        for vm, beat in self.by_vm.items():
+            if vm == self.own.vm:
+                continue
+            bucket = dead if self.state_of(vm) is MemberState.DEAD else live
+            bucket.append(beat)
+        chosen = self._random.sample(live, min(FANOUT, len(live)))
+        if dead:
+            chosen.append(self._random.choice(dead))
+        return chosen
+
+    def _forget(self) -> None:
+        gone = [vm for vm, silent_s in self._silent_s.items() if silent_s > FORGET_S]
+        for vm in gone:
+            del self._silent_s[vm]
+            del self.by_vm[vm]
