--- /dev/null
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operator commands, stand-ins and load tool of guavabarrow."""
--- /dev/null
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems: databases and platform."""
--- a/packages/guavabarrow-core/src/guavabarrow_core/allowance.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/allowance.py
@@ -54,8 +54,9 @@
     burst : float
         Share of the team's burst.
     now : float
-        Monotonic time of creation. The bucket starts empty, because a predecessor
-        may have granted everything it had.
+        Monotonic time from which tokens are created. The bucket starts empty: a
+        predecessor may have granted everything it had, so a new holder passes the
+        time at which the last such grant has expired.
     """
 
     rate_per_s: float
@@ -73,7 +74,7 @@
 
     def set_limits(self, *, rate_per_s: float, burst: float, now: float) -> None:
         """Change rate and burst; tokens above the new burst are discarded."""
-        self._refill(now)
+        self.refill(now)
         self.rate_per_s = rate_per_s
         self.burst = burst
         self.level = min(self.level, max(0.0, burst - self.outstanding))
@@ -107,7 +108,7 @@
         Grant
             As many tokens as the bucket has.
         """
-        self._refill(now)
+        self.refill(now)
         self._record_demand(wanted, now)
         tokens = min(wanted, self.level)
         self.level -= tokens
@@ -138,7 +139,7 @@
         float
             Tokens given; they leave this bucket for good.
         """
-        self._refill(now)
+        self.refill(now)
         reserve = min(self.burst, self._recent_demand(now) * LEND_RESERVE_S)
         tokens = max(0.0, min(wanted, self.level - reserve))
         self.level -= tokens
@@ -146,11 +147,12 @@
 
     def receive(self, tokens: float, now: float) -> None:
         """Add tokens given by another domain, up to the burst share."""
-        self._refill(now)
+        self.refill(now)
         room = max(0.0, self.burst - self.outstanding - self.level)
         self.level += min(tokens, room)
 
-    def _refill(self, now: float) -> None:
+    def refill(self, now: float) -> None:
+        """Create the tokens due since the last call, up to the burst share."""
         for vm in [
             vm for vm, loan in self.loan_by_vm.items() if loan.expires_at <= now
         ]:
@@ -208,6 +210,7 @@
 
     def wanted(self, waiting: float, now: float) -> float:
         """Return how many tokens to ask for, given the waiting cost."""
+        self._expire(now)
         decay = max(0.0, 1.0 - (now - self._spent_at) / DEMAND_SMOOTHING_S)
         prefetch = self._spent_per_s * decay * PREFETCH_S
         return max(0.0, waiting + prefetch - self.tokens)
--- a/packages/guavabarrow-core/src/guavabarrow_core/configuration_chain.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/configuration_chain.py
@@ -1,4 +1,4 @@
-"""The chain of configuration versions, as one VM holds it and as operators extend it."""
+"""The chain of configuration versions: held by VMs, extended by operators."""
 
 from __future__ import annotations
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/group_monitor.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/group_monitor.py
@@ -235,6 +235,10 @@
         """Whether new writes must wait because the primary is being moved."""
         return self._handover_since is not None
 
+    def silent_s(self, database: str, now: float) -> float:
+        """Return for how long a database has not answered, seconds."""
+        return now - self._contact(database).heard_at
+
     def step(self, event: Event, now: float) -> list[Action]:
         """Take one event.
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/lease.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/lease.py
@@ -199,7 +199,7 @@
             return [WriteRow(self._renewed())]
         if event.wants and self._may_take_over(event, now):
             return [WriteRow(self._taken_over())]
-        if event.wants or event.holder_silent:
+        if event.wants:
             return [ReadRow()]
         self._pending = False
         return []
--- a/packages/guavabarrow-core/src/guavabarrow_core/read_router.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/read_router.py
@@ -24,7 +24,9 @@
     Parameters
     ----------
     position : LogPosition
-        Highest position that the session has seen.
+        Highest position that the session has written.
+    arrived_at : float
+        Monotonic time at which the read arrived; ages count from here.
     max_age_s : float or None
         Stated age; None if only the session's own writes matter.
     primary_only : bool
@@ -32,9 +34,17 @@
     """
 
     position: LogPosition
+    arrived_at: float
     max_age_s: float | None = None
     primary_only: bool = False
 
+    @property
+    def oldest_as_of(self) -> float:
+        """Time before which every acknowledged write must be visible."""
+        if self.max_age_s is None:
+            return self.arrived_at - SESSION_READ_MAX_AGE_S
+        return self.arrived_at - self.max_age_s
+
 
 @dataclass(frozen=True, slots=True)
 class ReadFrom:
@@ -114,7 +124,7 @@
             wait_s = self._replica_wait_s(demand, view=view, now=now) - waited_s
             if wait_s > 0:
                 return WaitForReport(wait_s)
-        return self._primary(demand, view=view, now=now)
+        return self._primary(demand, view=view)
 
     @abstractmethod
     def _replica_wait_s(
@@ -130,7 +140,7 @@
             for report in view.by_database.values()
             if report.role is Role.REPLICA
             and now - report.received_at < REPORT_STALE_S
-            and self._satisfies(report, demand, view=view, now=now)
+            and self._satisfies(report, demand, view=view)
         ]
 
     def _satisfies(
@@ -139,16 +149,12 @@
         demand: ReadDemand,
         *,
         view: GroupView,
-        now: float,
     ) -> bool:
         if not report.lineage.satisfies(demand.position):
             return False
-        max_age_s = demand.max_age_s
-        if max_age_s is None:
-            max_age_s = SESSION_READ_MAX_AGE_S
-        return now - view.proven_as_of(report) <= max_age_s
+        return view.proven_as_of(report) >= demand.oldest_as_of
 
-    def _primary(self, demand: ReadDemand, *, view: GroupView, now: float) -> Route:
+    def _primary(self, demand: ReadDemand, *, view: GroupView) -> Route:
         primary = view.primary
         if primary is None:
             return NoDatabase()
@@ -156,7 +162,7 @@
             return WaitForReport(REPORT_STALE_S)
         if demand.max_age_s is None:
             return ReadFrom(primary.database, is_replica=False)
-        if now - view.confirmed_at > demand.max_age_s:
+        if view.confirmed_at < demand.oldest_as_of:
             return WaitForReport(REPORT_STALE_S)
         return ReadFrom(primary.database, is_replica=False)
 
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Entry VM process of the guavabarrow database proxy."""
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
@@ -0,0 +1,395 @@
+"""HTTP/1.1 and JSON interface for callers."""
+
+from __future__ import annotations
+
+import math
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from guavabarrow_core.exceptions import (
+    BadRequest,
+    BadToken,
+    BodyTooLarge,
+    DeadlineExceeded,
+    KeyInStatement,
+    Overloaded,
+    Ran,
+    Refusal,
+    RequestIdRequired,
+    ServiceNotAllowed,
+    Unauthenticated,
+    UnknownRoute,
+)
+from guavabarrow_core.fleet import OPEN_TEAM
+from guavabarrow_core.read_router import ReadDemand
+from guavabarrow_core.request_id import check_request_id
+from guavabarrow_core.session_token import SessionToken, TokenSigner
+from guavabarrow_core.statement import check_statement
+from guavabarrow_daemon.caller_context import (
+    CallerContext,
+    StatementAnswer,
+    StatementBody,
+)
+from guavabarrow_daemon.configuration_service import ConfigurationService
+from guavabarrow_daemon.drain_service import DrainService
+from guavabarrow_daemon.http.site import Routes, TrackedSite, answer
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.key_service import OPEN_OWNER, KeyService
+from guavabarrow_daemon.ledger_service import OPEN_LIMITS, LedgerService
+from guavabarrow_daemon.metrics import Metrics
+from guavabarrow_daemon.statement_service import StatementService
+from guavabarrow_daemon.target.messages import Execute, Result
+from guavabarrow_daemon.transaction_service import TransactionService
+
+if TYPE_CHECKING:
+    from guavabarrow_core.key_ring import KeyOwner
+    from guavabarrow_daemon.http.site import MemoryRequest as Request
+    from guavabarrow_daemon.settings import Settings
+
+UNKNOWN_TEAM = "unknown"
+PROBLEM_TYPE = b"application/problem+json"
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Problem document (RFC 9457) of a refusal."""
+
+    type: str
+    title: str
+    status: int
+    code: str
+    ran: str
+    detail: str
+    retry_after_ms: int | None = None
+
+
+class CallerApi(Service):
+    """Owner of the listening port for callers.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Registry.
+    settings : Settings
+        Address and limits.
+    reactor : object
+        Reactor that owns the sockets.
+    wall_clock : callable
+        Returns seconds since 1970, for the age of request ids.
+    """
+
+    name = "callers"
+
+    def __init__(
+        self, kernel: Kernel, settings: Settings, reactor: Any, wall_clock: Any
+    ) -> None:
+        super().__init__(kernel)
+        self._settings = settings
+        self._reactor = reactor
+        self._wall_clock = wall_clock
+        self._configuration = kernel.find(ConfigurationService)
+        self._keys = kernel.find(KeyService)
+        self._ledger = kernel.find(LedgerService)
+        self._statements = kernel.find(StatementService)
+        self._transactions = kernel.find(TransactionService)
+        self._drain = kernel.find(DrainService)
+        self._metrics = kernel.find(Metrics)
+        self._signer = TokenSigner(settings.secrets.token.get_secret_value().encode())
+        self._body_decoder = msgspec.json.Decoder(StatementBody)
+        self._site = TrackedSite(
+            self._routes(), max_body_bytes=settings.limits.max_body_bytes
+        )
+        self._port: Any = None
+        self.address = str(settings.callers)
+
+    async def start(self) -> None:
+        """Listen for callers."""
+        address = self._settings.callers
+        self._port = self._reactor.listenTCP(
+            address.port, self._site, interface=address.host, backlog=1024
+        )
+        self.address = f"{address.host}:{self._port.getHost().port}"
+
+    async def stop(self) -> None:
+        """Stop to listen and close idle connections."""
+        if self._port is not None:
+            await self._port.stopListening()
+        for channel in list(self._site.channels):
+            channel.loseConnection()
+
+    def _routes(self) -> Routes:
+        routes = Routes(self._handle)
+        routes.add("GET", "/healthz", self._health)
+        routes.add("GET", "/readyz", self._ready)
+        return routes
+
+    async def _health(self, request: Request) -> None:
+        answer(request, 200, b'{"status": "ok"}')
+
+    async def _ready(self, request: Request) -> None:
+        status = 200 if self._drain.is_ready else 503
+        body = msgspec.json.encode({"readiness": self._drain.readiness.value})
+        answer(request, status, body)
+
+    async def _handle(self, request: Request) -> None:
+        started_at = self._reactor.seconds()
+        self._drain.begin_request()
+        team = UNKNOWN_TEAM
+        code = "ok"
+        ran = Ran.RAN
+        try:
+            team = await self._dispatch(request, started_at)
+        except Refusal as refusal:
+            code, ran = refusal.code, refusal.ran
+            team = getattr(refusal, "team", UNKNOWN_TEAM)
+            self._refuse(request, refusal)
+        finally:
+            self._drain.end_request()
+            self._metrics.requests.labels(team, code, ran.value).inc()
+            elapsed_s = self._reactor.seconds() - started_at
+            self._metrics.latency.labels(team, code).observe(elapsed_s)
+
+    async def _dispatch(self, request: Request, started_at: float) -> str:
+        if not self._drain.is_ready:
+            request.responseHeaders.setRawHeaders(b"connection", [b"close"])
+        match request.path.decode("utf-8", "replace").split("/")[1:]:
+            case ["v1", "services", service, "statements"]:
+                handler, name = self._statement, service
+            case ["v1", "services", service, "transactions"]:
+                handler, name = self._begin, service
+            case ["v1", "transactions", transaction_id, action]:
+                handler, name = self._transaction_handler(action), transaction_id
+            case ["v1", "open", route]:
+                await self._open_route(request, route, started_at)
+                return OPEN_TEAM
+            case _:
+                raise UnknownRoute("No such path; see docs/api.md.")
+        if request.method != b"POST":
+            raise UnknownRoute("Use POST.")
+        key = self._read_key(request)
+        context = self._context(request, key, started_at)
+        try:
+            await handler(request, context, name)
+        except Refusal as refusal:
+            refusal.team = context.team  # type: ignore[attr-defined]
+            raise
+        return context.team
+
+    def _transaction_handler(self, action: str) -> Any:
+        handlers = {
+            "statements": self._transaction_statement,
+            "commit": self._commit,
+            "rollback": self._rollback,
+        }
+        if action not in handlers:
+            raise UnknownRoute("No such path; see docs/api.md.")
+        return handlers[action]
+
+    def _read_key(self, request: Request) -> str:
+        scheme, _, key = (request.getHeader("authorization") or "").partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            raise Unauthenticated("Send the team's key: Authorization: Bearer KEY.")
+        return key
+
+    def _context(self, request: Request, key: str, started_at: float) -> CallerContext:
+        body = request.content.getvalue()
+        if request.is_too_large:
+            raise BodyTooLarge(
+                f"The body exceeds {self._settings.limits.max_body_bytes} bytes."
+            )
+        owner = self._authenticate(key)
+        if key.encode() in body:
+            raise KeyInStatement("The body contains the key; remove it. Not run.")
+        fleet = self._configuration.fleet
+        request_id = request.getHeader("request-id") or ""
+        if request_id:
+            request_id = check_request_id(request_id, unix_s=self._wall_clock())
+        return CallerContext(
+            owner=owner,
+            limits=fleet.limits_of(owner.team),
+            token=self._read_token(request, owner.team),
+            arrived_at=started_at,
+            deadline=started_at + self._deadline_s(request),
+            request_id=request_id,
+            fingerprint=blake2b(
+                request.path + b"\0" + body, digest_size=16
+            ).hexdigest(),
+        )
+
+    def _authenticate(self, key: str) -> KeyOwner:
+        if self._configuration.chain.version == 0:
+            self._drain.check_new_work()
+        owner = self._keys.find(key)
+        if owner is None:
+            raise Unauthenticated("The key is unknown or was withdrawn.")
+        return owner
+
+    def _read_token(self, request: Request, team: str) -> SessionToken:
+        text = request.getHeader("session-token")
+        if not text:
+            return SessionToken()
+        decoded = self._signer.decode(text, team=team)
+        failure = decoded.swap().value_or(None)
+        if failure is not None:
+            raise BadToken(str(failure))
+        return decoded.unwrap()
+
+    def _deadline_s(self, request: Request) -> float:
+        limits = self._settings.limits
+        text = request.getHeader("deadline-ms")
+        if text is None:
+            return limits.default_deadline_ms / 1000
+        try:
+            deadline_ms = float(text)
+        except ValueError:
+            raise BadRequest("Deadline-Ms must be a number of milliseconds.") from None
+        if not math.isfinite(deadline_ms) or deadline_ms <= 0:
+            raise DeadlineExceeded("Deadline-Ms has passed; not run.")
+        return min(deadline_ms, limits.max_deadline_ms) / 1000
+
+    def _read_statement(self, request: Request) -> StatementBody:
+        try:
+            body = self._body_decoder.decode(request.content.getvalue())
+        except msgspec.MsgspecError as error:
+            raise BadRequest(f"The body is not a statement: {error}") from error
+        check_statement(body.sql)
+        if body.max_age_ms is not None and not body.max_age_ms >= 0:
+            raise BadRequest("max_age_ms must not be negative.")
+        return body
+
+    async def _admit(self, context: CallerContext, service: str | None) -> None:
+        if service is not None:
+            team = self._configuration.fleet.teams[context.team]
+            if service not in team.services:
+                raise ServiceNotAllowed(
+                    f"Team {context.team!r} does not reach service {service!r}."
+                )
+        if self._drain.in_progress > self._settings.limits.max_requests:
+            raise Overloaded("Too many requests at this VM.", retry_after_s=0.5)
+        await self._ledger.admit(context.team, cost=1.0, deadline=context.deadline)
+        if not self._keys.is_in_force(context.owner):
+            raise Unauthenticated("The key was withdrawn; the request was not run.")
+
+    async def _statement(
+        self, request: Request, context: CallerContext, service: str
+    ) -> None:
+        self._drain.check_new_work()
+        body = self._read_statement(request)
+        if not body.read and not body.idempotent and not context.request_id:
+            raise RequestIdRequired(
+                "A write needs a Request-Id header (UUID version 7), so that it "
+                "cannot run twice, or idempotent: true in its body. Not run."
+            )
+        await self._admit(context, service)
+        message = Execute(
+            sql=body.sql,
+            params=body.params,
+            read=body.read,
+            team=context.team,
+            request_id="" if body.read else context.request_id,
+            fingerprint=context.fingerprint,
+        )
+        if not body.read:
+            result = await self._statements.write(context, service, message)
+            self._reply(request, context, result)
+            return
+        demand = self._demand(context, service, body.max_age_ms)
+        read = await self._statements.read(context, service, message, demand)
+        source = "replica" if read.is_replica else "primary"
+        self._metrics.reads.labels(source).inc()
+        self._reply(request, context, read.result, source=source)
+
+    def _demand(
+        self, context: CallerContext, service: str, max_age_ms: float | None
+    ) -> ReadDemand:
+        max_age_s = context.limits.read_max_age_s
+        if max_age_ms is not None:
+            max_age_s = max_age_ms / 1000
+        return ReadDemand(
+            position=context.token.position_of(service),
+            arrived_at=context.arrived_at,
+            max_age_s=max_age_s,
+            primary_only=context.token.requires_primary(service),
+        )
+
+    async def _open_route(self, request: Request, name: str, started_at: float) -> None:
+        self._drain.check_new_work()
+        route = self._configuration.fleet.open_routes.get(name)
+        if route is None or request.method != b"GET":
+            raise UnknownRoute("No such open route.")
+        deadline = started_at + self._deadline_s(request)
+        context = CallerContext(
+            OPEN_OWNER, OPEN_LIMITS, SessionToken(), started_at, deadline
+        )
+        await self._ledger.admit(OPEN_TEAM, cost=1.0, deadline=deadline)
+        demand = self._demand(context, route.service, None)
+        message = Execute(sql=route.sql, read=True)
+        read = await self._statements.read(context, route.service, message, demand)
+        source = "replica" if read.is_replica else "primary"
+        self._reply(request, context, read.result, source=source)
+
+    async def _begin(
+        self, request: Request, context: CallerContext, service: str
+    ) -> None:
+        self._drain.check_new_work()
+        await self._admit(context, service)
+        transaction_id = await self._transactions.begin(context, service)
+        answer(request, 201, msgspec.json.encode({"transaction_id": transaction_id}))
+
+    async def _transaction_statement(
+        self, request: Request, context: CallerContext, transaction_id: str
+    ) -> None:
+        body = self._read_statement(request)
+        await self._admit(context, None)
+        message = Execute(sql=body.sql, params=body.params, read=body.read)
+        result = await self._transactions.execute(context, transaction_id, message)
+        self._reply(request, context, result)
+
+    async def _commit(
+        self, request: Request, context: CallerContext, transaction_id: str
+    ) -> None:
+        result = await self._transactions.commit(context, transaction_id)
+        self._reply(request, context, result)
+
+    async def _rollback(
+        self, request: Request, context: CallerContext, transaction_id: str
+    ) -> None:
+        await self._transactions.rollback(context, transaction_id)
+        self._reply(request, context, Result())
+
+    def _reply(
+        self,
+        request: Request,
+        context: CallerContext,
+        result: Result,
+        *,
+        source: str = "primary",
+    ) -> None:
+        token = self._signer.encode(context.token, team=context.team)
+        request.responseHeaders.setRawHeaders(b"session-token", [token.encode()])
+        body = StatementAnswer(
+            columns=result.columns,
+            rows=result.rows,
+            row_count=result.row_count,
+            replayed=result.replayed,
+            source=source,
+        )
+        answer(request, 200, msgspec.json.encode(body))
+
+    def _refuse(self, request: Request, refusal: Refusal) -> None:
+        retry_after_ms = None
+        if refusal.retry_after_s is not None:
+            retry_after_ms = math.ceil(refusal.retry_after_s * 1000)
+            seconds = b"%d" % math.ceil(refusal.retry_after_s)
+            request.responseHeaders.setRawHeaders(b"retry-after", [seconds])
+        problem = Problem(
+            type=f"urn:guavabarrow:problem:{refusal.code}",
+            title=refusal.code.replace("_", " "),
+            status=refusal.status,
+            code=refusal.code,
+            ran=refusal.ran.value,
+            detail=refusal.detail,
+            retry_after_ms=retry_after_ms,
+        )
+        answer(request, refusal.status, msgspec.json.encode(problem), PROBLEM_TYPE)
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
@@ -0,0 +1,335 @@
+"""Keeps the newest configuration in force and passes it on to peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from guavabarrow_core.configuration_chain import (
+    Accepted,
+    AnswerLost,
+    ChainRead,
+    ChangeOperation,
+    ConfigurationChain,
+    OperationAction,
+    OperationEvent,
+    ReadChain,
+    WriteAnswered,
+    WriteRevision,
+)
+from guavabarrow_core.exceptions import ConfigurationError
+from guavabarrow_core.fleet import decode_fleet, encode_fleet
+from guavabarrow_core.fleet_change import Revision, apply_revision
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.membership_service import MembershipService
+from guavabarrow_daemon.metrics import Metrics
+from guavabarrow_daemon.peer_messages import PullConfiguration, PushConfiguration
+from guavabarrow_daemon.peers import Peers
+from guavabarrow_daemon.platform.interface import (
+    ObjectStore,
+    PlatformUnavailable,
+    TableService,
+)
+from guavabarrow_daemon.platform.messages import Condition, Put, Read, Transact
+from guavabarrow_daemon.state_log import log_state
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavabarrow_core.fleet import Fleet
+    from guavabarrow_core.fleet_change import Change
+    from guavabarrow_daemon.settings import Settings
+
+HEAD_KEY = "config/head"
+REVISION_PREFIX = "config/revision/"
+SNAPSHOT_PREFIX = "fleet-"
+SNAPSHOT_EVERY = 50
+POLL_S = 0.5
+POLLERS = 2
+READ_LIMIT = 200
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Row that names the newest version and the newest snapshot."""
+
+    version: int = 0
+    snapshot: int = 0
+
+
+class ConfigurationService(Service):
+    """Owner of the configuration chain of this VM.
+
+    Two VMs of each failure domain poll the head; all others learn of a new version
+    from heartbeats and pull it from a peer that has it.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Registry.
+    settings : Settings
+        Own name and domain.
+    table : TableService
+        Holds the chain.
+    objects : ObjectStore
+        Holds snapshots.
+    reactor : object
+        Clock.
+    """
+
+    name = "configuration"
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: Settings,
+        table: TableService,
+        objects: ObjectStore,
+        reactor: Any,
+    ) -> None:
+        super().__init__(kernel)
+        self._settings = settings
+        self._table = table
+        self._objects = objects
+        self._reactor = reactor
+        self._membership = kernel.find(MembershipService)
+        self._peers = kernel.find(Peers)
+        self._metrics = kernel.find(Metrics)
+        self._loop = LoopingCall(self._poll)
+        self._loop.clock = reactor
+        self.chain = ConfigurationChain()
+        self.on_change: list[Callable[[Fleet], None]] = []
+
+    @property
+    def fleet(self) -> Fleet:
+        """Configuration in force at this VM."""
+        return self.chain.fleet
+
+    async def start(self) -> None:
+        """Start to poll and to listen for newer versions of peers."""
+        self._membership.on_heartbeats.append(self._pull_from_newest)
+        self._loop.start(POLL_S)
+
+    async def stop(self) -> None:
+        """Stop to poll."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def receive(self, reply_to: str, message: object) -> None:
+        """Answer pulls and apply pushes."""
+        match message:
+            case PullConfiguration(version):
+                self._push_to(reply_to, version)
+            case PushConfiguration(revisions, snapshot):
+                before = self.chain.version
+                if snapshot is not None:
+                    self.chain.install(snapshot)
+                self._extend(revisions)
+                self._notify(before)
+
+    async def change(
+        self,
+        changes: tuple[Change, ...],
+        *,
+        base_version: int | None,
+        operation_id: str,
+        author: str,
+    ) -> int:
+        """Append a change to the chain.
+
+        Parameters
+        ----------
+        changes : tuple of Change
+            Applied all or none.
+        base_version : int or None
+            Version on which the operator decided; None takes the head.
+        operation_id : str
+            Unique id; a repeat returns the version of the first run.
+        author : str
+            Who makes the change.
+
+        Returns
+        -------
+        int
+            Version that holds the change.
+
+        Raises
+        ------
+        ConfigurationConflict
+            If another change took the version.
+        ConfigurationError
+            If the change is not valid or its outcome is unknown.
+        """
+        base = await self._base(base_version, operation_id)
+        if isinstance(base, int):
+            return base
+        operation = ChangeOperation(
+            base, changes, operation_id=operation_id, author=author
+        )
+        action = operation.start()
+        while not isinstance(action, Accepted):
+            action = operation.step(await self._perform(action, operation))
+        await self._refresh()
+        await self._write_snapshot(action.version)
+        return action.version
+
+    async def _base(self, base_version: int | None, operation_id: str) -> Fleet | int:
+        try:
+            await self._refresh()
+        except PlatformUnavailable as error:
+            raise ConfigurationError(
+                "The platform's store does not answer; nothing was changed. "
+                "Repeat later with the same operation id."
+            ) from error
+        for revision in self.chain.since(max(0, self.chain.version - 200)) or []:
+            if revision.operation_id == operation_id:
+                return revision.version
+        if base_version is None or base_version == self.chain.version:
+            return self.fleet
+        return await self._fleet_at(base_version)
+
+    async def _fleet_at(self, version: int) -> Fleet:
+        older = ConfigurationChain()
+        rows = await self._read_revisions(0)
+        older.extend(row for row in rows if row.version <= version)
+        if older.version != version:
+            raise ConfigurationError(
+                f"Version {version} is not in the chain; read the configuration again."
+            )
+        return older.fleet
+
+    async def _perform(
+        self, action: OperationAction, operation: ChangeOperation
+    ) -> OperationEvent:
+        try:
+            match action:
+                case ReadChain(after_version):
+                    rows = await self._read_revisions(after_version)
+                    return ChainRead(tuple(rows))
+                case WriteRevision(revision):
+                    return WriteAnswered(await self._write_revision(revision))
+        except PlatformUnavailable:
+            return AnswerLost()
+        return AnswerLost()
+
+    async def _write_revision(self, revision: Revision) -> bool:
+        answer = await self._table.read(Read(keys=[HEAD_KEY]))
+        head, head_revision = Head(), 0
+        if answer.rows:
+            head = msgspec.json.decode(answer.rows[0].value, type=Head)
+            head_revision = answer.rows[0].revision
+        if head.version != revision.version - 1:
+            return False
+        key = _revision_key(revision.version)
+        new_head = Head(revision.version, head.snapshot)
+        result = await self._table.transact(
+            Transact(
+                conditions=[Condition(HEAD_KEY, head_revision), Condition(key, 0)],
+                puts=[Put(HEAD_KEY, _text(new_head)), Put(key, _text(revision))],
+            )
+        )
+        return result.applied
+
+    async def _write_snapshot(self, version: int) -> None:
+        if version % SNAPSHOT_EVERY or self.chain.version != version:
+            return
+        try:
+            name = f"{SNAPSHOT_PREFIX}{version}"
+            await self._objects.put(name, encode_fleet(self.fleet))
+            answer = await self._table.read(Read(keys=[HEAD_KEY]))
+            row = answer.rows[0]
+            head = msgspec.json.decode(row.value, type=Head)
+            await self._table.transact(
+                Transact(
+                    conditions=[Condition(HEAD_KEY, row.revision)],
+                    puts=[Put(HEAD_KEY, _text(Head(head.version, version)))],
+                )
+            )
+        except PlatformUnavailable:
+            return
+
+    async def _read_revisions(self, after_version: int) -> list[Revision]:
+        after = _revision_key(after_version)
+        answer = await self._table.read(
+            Read(prefix=REVISION_PREFIX, after=after, limit=READ_LIMIT)
+        )
+        return [msgspec.json.decode(row.value, type=Revision) for row in answer.rows]
+
+    def _poll(self) -> Deferred[None] | None:
+        rank = self._membership.rank("configuration", self._settings.domain)
+        if self.chain.version and rank >= POLLERS:
+            return None
+        return Deferred.fromCoroutine(self._poll_store())
+
+    async def _poll_store(self) -> None:
+        try:
+            await self._refresh()
+        except PlatformUnavailable:
+            return
+
+    async def _refresh(self) -> None:
+        answer = await self._table.read(Read(keys=[HEAD_KEY]))
+        if not answer.rows:
+            return
+        head = msgspec.json.decode(answer.rows[0].value, type=Head)
+        before = self.chain.version
+        if head.snapshot > self.chain.version:
+            await self._install_snapshot(head.snapshot)
+        while self.chain.version < head.version:
+            if not self._extend(await self._read_revisions(self.chain.version)):
+                break
+        self._notify(before)
+
+    async def _install_snapshot(self, version: int) -> None:
+        document = await self._objects.get(f"{SNAPSHOT_PREFIX}{version}")
+        if document is not None:
+            self.chain.install(decode_fleet(document))
+
+    def _extend(self, revisions: list[Revision]) -> int:
+        try:
+            return self.chain.extend(revisions)
+        except ConfigurationError as error:
+            log_state(self._settings.vm, "revision_rejected", error=str(error))
+            return 0
+
+    def _notify(self, before: int) -> None:
+        version = self.chain.version
+        if version == before:
+            return
+        self._metrics.version.set(version)
+        self._membership.announce(version=version)
+        log_state(self._settings.vm, "configuration_in_force", version=version)
+        for callback in self.on_change:
+            callback(self.fleet)
+        for partner in self._membership.table.partners():
+            self._push_to(partner.peer_address, before)
+
+    def _push_to(self, address: str, version: int) -> None:
+        revisions = self.chain.since(version)
+        if revisions is None:
+            message = PushConfiguration(snapshot=self.fleet)
+        elif revisions:
+            message = PushConfiguration(revisions=revisions)
+        else:
+            return
+        self._peers.send(address, message)
+
+    def _pull_from_newest(self) -> None:
+        newest = max(self._membership.table.alive(), key=lambda beat: beat.version)
+        if newest.version > self.chain.version:
+            self._peers.send(newest.peer_address, PullConfiguration(self.chain.version))
+
+
+def check_changes(fleet: Fleet, changes: tuple[Change, ...]) -> None:
+    """Raise :class:`ConfigurationError` if the changes cannot be applied."""
+    apply_revision(fleet, Revision(fleet.version + 1, "check", "check", changes))
+
+
+def _revision_key(version: int) -> str:
+    return f"{REVISION_PREFIX}{version:012d}"
+
+
+def _text(value: object) -> str:
+    return msgspec.json.encode(value).decode()
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/drain_service.py
@@ -0,0 +1,156 @@
+"""Readiness and graceful shutdown of this VM."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from guavabarrow_core.exceptions import Draining, NoConfiguration
+from guavabarrow_daemon.configuration_service import ConfigurationService
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.ledger_service import LedgerService
+from guavabarrow_daemon.membership_service import MembershipService
+from guavabarrow_daemon.metrics import Metrics
+from guavabarrow_daemon.state_log import log_state
+from guavabarrow_daemon.transaction_service import TransactionService
+
+if TYPE_CHECKING:
+    from guavabarrow_core.fleet import Fleet
+    from guavabarrow_daemon.settings import Settings
+
+CHECK_S = 0.05
+RETRY_AFTER_S = 1.0
+
+
+class Readiness(Enum):
+    """Whether this VM takes work."""
+
+    STARTING = "starting"
+    READY = "ready"
+    NOTICE = "notice"
+    REFUSING = "refusing"
+
+
+class DrainService(Service):
+    """Decides whether requests are taken, and ends the process gracefully.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Registry.
+    settings : Settings
+        Durations of the drain.
+    reactor : object
+        Clock.
+    """
+
+    name = "drain"
+
+    def __init__(self, kernel: Kernel, settings: Settings, reactor: Any) -> None:
+        super().__init__(kernel)
+        self._settings = settings
+        self._reactor = reactor
+        self._configuration = kernel.find(ConfigurationService)
+        self._membership = kernel.find(MembershipService)
+        self._transactions = kernel.find(TransactionService)
+        self._ledger = kernel.find(LedgerService)
+        self._metrics = kernel.find(Metrics)
+        self._in_progress = 0
+        self._is_stopping = False
+        self.readiness = Readiness.STARTING
+
+    async def start(self) -> None:
+        """Follow the configuration."""
+        self._configuration.on_change.append(self._apply)
+        self._apply(self._configuration.fleet)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send new connections."""
+        return self.readiness is Readiness.READY
+
+    def check_new_work(self) -> None:
+        """Refuse new work if this VM takes none.
+
+        Raises
+        ------
+        NoConfiguration
+            While there is no configuration yet.
+        Draining
+            After the notice period of a drain.
+        """
+        if self.readiness is Readiness.STARTING:
+            raise NoConfiguration(
+                "This VM has no configuration yet; not run.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if self.readiness is Readiness.REFUSING:
+            raise Draining(
+                "This VM takes no new work; not run. Connect again.",
+                retry_after_s=0.0,
+            )
+
+    def begin_request(self) -> None:
+        """Count a request in progress."""
+        self._in_progress += 1
+        self._metrics.in_progress.set(self._in_progress)
+
+    def end_request(self) -> None:
+        """Count the end of a request."""
+        self._in_progress -= 1
+        self._metrics.in_progress.set(self._in_progress)
+
+    @property
+    def in_progress(self) -> int:
+        """Requests in progress."""
+        return self._in_progress
+
+    async def drain(self) -> None:
+        """Take no new work and wait until running work has ended."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._membership.announce(leaving=True)
+        await self._notice()
+        limit_s = self._settings.drain.limit_ms / 1000
+        give_up_at = self._reactor.seconds() + limit_s
+        while self._in_progress or len(self._transactions):
+            if self._reactor.seconds() >= give_up_at:
+                log_state(
+                    self._settings.vm,
+                    "drain_cut_short",
+                    requests=self._in_progress,
+                    transactions=len(self._transactions),
+                )
+                break
+            await self._sleep(CHECK_S)
+        await self._ledger.hand_back()
+        log_state(self._settings.vm, "drained")
+
+    def _apply(self, fleet: Fleet) -> None:
+        if self._is_stopping or not fleet.version:
+            return
+        if fleet.is_out(self._settings.domain):
+            if self.readiness in (Readiness.READY, Readiness.STARTING):
+                self._membership.announce(leaving=True)
+                Deferred.fromCoroutine(self._notice())
+            return
+        if self.readiness is not Readiness.READY:
+            self._membership.announce(leaving=False)
+            self._set(Readiness.READY)
+
+    async def _notice(self) -> None:
+        self._set(Readiness.NOTICE)
+        await self._sleep(self._settings.drain.notice_ms / 1000)
+        if self.readiness is Readiness.NOTICE:
+            self._set(Readiness.REFUSING)
+
+    def _set(self, readiness: Readiness) -> None:
+        self.readiness = readiness
+        log_state(self._settings.vm, "readiness_changed", readiness=readiness.value)
+
+    def _sleep(self, duration_s: float) -> Deferred[None]:
+        return deferLater(self._reactor, duration_s, lambda: None)
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_store.py
@@ -0,0 +1,67 @@
+"""Row of a lease in the platform's table service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from guavabarrow_core.lease import LeaseRow
+from guavabarrow_daemon.platform.messages import Condition, Put, Read, Transact
+
+if TYPE_CHECKING:
+    from guavabarrow_daemon.platform.interface import TableService
+
+
+class StoredLease(msgspec.Struct, frozen=True):
+    """Value of the row."""
+
+    holder: str
+    epoch: int
+    renewal: int
+
+
+class LeaseStore:
+    """Reads and conditionally writes one lease row.
+
+    Parameters
+    ----------
+    table : TableService
+        The platform's table service.
+    key : str
+        Key of the row.
+    reactor : object
+        Clock.
+    """
+
+    def __init__(self, table: TableService, key: str, reactor: Any) -> None:
+        self._table = table
+        self._key = key
+        self._reactor = reactor
+
+    async def read(self) -> LeaseRow:
+        """Return the row, an empty one if it does not exist."""
+        answer = await self._table.read(Read(keys=[self._key]))
+        if not answer.rows:
+            return LeaseRow()
+        row = answer.rows[0]
+        value = msgspec.json.decode(row.value, type=StoredLease)
+        return LeaseRow(value.holder, value.epoch, value.renewal, row.revision)
+
+    async def write(self, row: LeaseRow) -> tuple[LeaseRow, bool]:
+        """Write the row if its revision is unchanged.
+
+        Returns
+        -------
+        tuple of LeaseRow and bool
+            The row as it is now, and whether this call wrote it.
+        """
+        value = StoredLease(row.holder, row.epoch, row.renewal)
+        put = Put(self._key, msgspec.json.encode(value).decode())
+        answer = await self._table.transact(
+            Transact(conditions=[Condition(self._key, row.revision)], puts=[put])
+        )
+        if not answer.applied:
+            return await self.read(), False
+        revision = answer.revisions[self._key]
+        return LeaseRow(row.holder, row.epoch, row.renewal, revision), True
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/membership_service.py
@@ -0,0 +1,163 @@
+"""Spreads heartbeats and knows which VMs are alive."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from guavabarrow_core.membership import HEARTBEAT_S, Heartbeat, Membership, MemberState
+from guavabarrow_core.rendezvous import rank_of
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.peer_messages import Gossip
+from guavabarrow_daemon.peers import Peers
+from guavabarrow_daemon.platform.interface import PlatformUnavailable, VmDirectory
+from guavabarrow_daemon.state_log import log_state
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavabarrow_daemon.settings import Settings
+
+VM_LIST_INTERVAL_S = 5.0
+VM_LIST_READERS = 2
+
+
+class MembershipService(Service):
+    """Owner of the membership table.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Registry.
+    settings : Settings
+        Own name and addresses.
+    directory : VmDirectory
+        The platform's list, a hint about whom to greet.
+    reactor : object
+        Clock.
+    incarnation : int
+        Start of this process.
+    """
+
+    name = "membership"
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: Settings,
+        directory: VmDirectory,
+        reactor: Any,
+        *,
+        incarnation: int,
+    ) -> None:
+        super().__init__(kernel)
+        self._settings = settings
+        self._directory = directory
+        self._reactor = reactor
+        self._peers = kernel.find(Peers)
+        self._incarnation = incarnation
+        self._loop = LoopingCall(self._beat)
+        self._loop.clock = reactor
+        self._list_loop = LoopingCall(self._read_list)
+        self._list_loop.clock = reactor
+        self._changes: dict[str, object] = {}
+        self._known_alive: set[str] = set()
+        self.on_change: list[Callable[[], None]] = []
+        self.on_heartbeats: list[Callable[[], None]] = []
+        self.admin_address = str(settings.admin)
+        self.table: Membership = self._create_table()
+
+    async def start(self) -> None:
+        """Start to gossip."""
+        self.table = self._create_table()
+        self._loop.start(HEARTBEAT_S)
+        self._list_loop.start(VM_LIST_INTERVAL_S)
+
+    async def stop(self) -> None:
+        """Stop to gossip."""
+        for loop in (self._loop, self._list_loop):
+            if loop.running:
+                loop.stop()
+
+    def receive(self, reply_to: str, message: object) -> None:
+        """Merge heartbeats."""
+        if isinstance(message, Gossip):
+            self.table.merge(message.heartbeats)
+            for callback in self.on_heartbeats:
+                callback()
+
+    def announce(self, **changes: object) -> None:
+        """Change fields of the own heartbeat from the next beat on."""
+        self._changes.update(changes)
+
+    def rank(self, duty: str, domain: str | None = None) -> int:
+        """Return the rank of this VM for a duty among the live VMs."""
+        alive = [beat.vm for beat in self.table.alive(domain) if not beat.leaving]
+        return rank_of(duty, self._settings.vm, alive)
+
+    def ledger_holder(self, domain: str) -> Heartbeat | None:
+        """Return the live VM of ``domain`` that claims the newest ledger lease."""
+        claims = [beat for beat in self.table.alive(domain) if beat.ledger_holder]
+        return max(claims, key=lambda beat: beat.ledger_epoch, default=None)
+
+    def _create_table(self) -> Membership:
+        own = Heartbeat(
+            vm=self._settings.vm,
+            domain=self._settings.domain,
+            peer_address=self._peers.address,
+            admin_address=self.admin_address,
+            incarnation=self._incarnation,
+            counter=0,
+        )
+        seed = self._incarnation & 0xFFFFFFFF
+        return Membership(own, seed=seed, now=self._reactor.seconds())
+
+    def _beat(self) -> None:
+        digest = self.table.beat(self._reactor.seconds(), **self._changes)
+        self._changes.clear()
+        message = Gossip(digest)
+        addresses = {beat.peer_address for beat in self.table.partners()}
+        if len(self.table.alive()) == 1:
+            addresses.update(self._settings.seed_peers)
+        addresses.discard(self._peers.address)
+        for address in addresses:
+            self._peers.send(address, message)
+        self._notice_changes()
+
+    def _notice_changes(self) -> None:
+        alive = {beat.vm for beat in self.table.alive()}
+        if alive == self._known_alive:
+            return
+        for vm in sorted(alive - self._known_alive):
+            log_state(self._settings.vm, "member_alive", member=vm)
+        for vm in sorted(self._known_alive - alive):
+            state = self.table.state_of(vm)
+            if state is not MemberState.ALIVE:
+                log_state(self._settings.vm, "member_lost", member=vm)
+        self._known_alive = alive
+        for callback in self.on_change:
+            callback()
+
+    def _read_list(self) -> Deferred[None] | None:
+        is_joined = len(self.table.alive()) > 1
+        if is_joined and self.rank("vm-list", self._settings.domain) >= VM_LIST_READERS:
+            return None
+        return Deferred.fromCoroutine(self._greet_listed())
+
+    async def _greet_listed(self) -> None:
+        try:
+            listed = await self._directory.list_vms()
+        except PlatformUnavailable:
+            return
+        known = set(self.table.by_vm)
+        for entry in listed.vms:
+            if entry.vm not in known:
+                self._peers.send(entry.peer_address, Gossip([self.table.own]))
+
+
+def create_incarnation() -> int:
+    """Return a number that is higher for every later start of a VM."""
+    return time.time_ns()
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/peers.py
@@ -0,0 +1,199 @@
+"""Messages between VMs over ``pynng`` push and pull sockets.
+
+Delivery is at most once: a message to a peer that cannot be reached is dropped and
+counted. Each datagram carries a keyed hash and a sequence number.
+"""
+
+from __future__ import annotations
+
+import hmac
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import pynng
+from twisted.internet.interfaces import IReadDescriptor
+from zope.interface import implementer
+
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.metrics import Metrics
+from guavabarrow_daemon.peer_messages import (
+    SERVICE_BY_MESSAGE,
+    Envelope,
+    PeerMessage,
+)
+
+if TYPE_CHECKING:
+    from twisted.python.failure import Failure
+
+    from guavabarrow_daemon.settings import Settings
+
+MAC_BYTES = 16
+SEND_BUFFER_MESSAGES = 32
+RECEIVE_BUFFER_MESSAGES = 512
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+MAX_MESSAGES_PER_WAKEUP = 256
+MAX_OPEN_PEERS = 512
+
+
+@implementer(IReadDescriptor)
+class SocketReader:
+    """Lets the reactor watch the receive descriptor of a ``pynng`` socket."""
+
+    def __init__(self, socket: Any, on_readable: Any) -> None:
+        self._descriptor = socket.recv_fd
+        self._on_readable = on_readable
+
+    def fileno(self) -> int:
+        """Return the descriptor, which belongs to the socket."""
+        return self._descriptor
+
+    def doRead(self) -> None:  # noqa: N802
+        """Tell the owner that messages have arrived."""
+        self._on_readable()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Do nothing: the owner closes the socket."""
+
+    def logPrefix(self) -> str:  # noqa: N802
+        """Return the name for logs."""
+        return "peers"
+
+
+class Peers(Service):
+    """Sends and receives messages between VMs.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Registry through which messages reach the services.
+    settings : Settings
+        Own name and address, and the peer secret.
+    reactor : object
+        Reactor that watches the socket.
+    incarnation : int
+        Start of this process.
+    """
+
+    name = "peers"
+
+    def __init__(
+        self, kernel: Kernel, settings: Settings, reactor: Any, *, incarnation: int
+    ) -> None:
+        super().__init__(kernel)
+        self._settings = settings
+        self._reactor = reactor
+        self._incarnation = incarnation
+        self._secret = settings.secrets.peer.get_secret_value().encode()
+        self._metrics = kernel.find(Metrics)
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._sequence = 0
+        self._last_by_sender: dict[str, tuple[int, int]] = {}
+        self._socket_by_address: dict[str, Any] = {}
+        self._listener: Any = None
+        self._reader: SocketReader | None = None
+        self.address = str(settings.peers)
+
+    async def start(self) -> None:
+        """Listen for messages."""
+        self._listener = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER_MESSAGES)
+        self._listener.listen(f"tcp://{self._settings.peers}")
+        if self._settings.peers.port == 0:
+            self.address = str(self._listener.listeners[0].local_address)
+        self._reader = SocketReader(self._listener, self._receive_all)
+        self._reactor.addReader(self._reader)
+
+    async def stop(self) -> None:
+        """Close all sockets."""
+        if self._reader is not None:
+            self._reactor.removeReader(self._reader)
+        if self._listener is not None:
+            self._listener.close()
+        for socket in self._socket_by_address.values():
+            socket.close()
+        self._socket_by_address.clear()
+
+    def send(self, address: str, message: PeerMessage) -> bool:
+        """Send a message to the VM that listens on ``address``.
+
+        Parameters
+        ----------
+        address : str
+            Announced ``ip:port``.
+        message : PeerMessage
+            Content.
+
+        Returns
+        -------
+        bool
+            False if it was dropped at once; True promises nothing.
+        """
+        self._sequence += 1
+        envelope = Envelope(
+            self._settings.vm, self.address, self._incarnation, self._sequence, message
+        )
+        body = self._encoder.encode(envelope)
+        data = self._mac(body) + body
+        kind = type(message).__name__
+        try:
+            self._socket(address).send(data, block=False)
+        except pynng.NNGException:
+            self._metrics.peer_messages.labels("dropped", kind).inc()
+            return False
+        self._metrics.peer_messages.labels("sent", kind).inc()
+        self._metrics.peer_bytes.labels("sent").inc(len(data))
+        return True
+
+    def _socket(self, address: str) -> Any:
+        socket = self._socket_by_address.pop(address, None)
+        if socket is None:
+            socket = self._dial(address)
+        self._socket_by_address[address] = socket
+        if len(self._socket_by_address) > MAX_OPEN_PEERS:
+            oldest = next(iter(self._socket_by_address))
+            self._socket_by_address.pop(oldest).close()
+        return socket
+
+    def _dial(self, address: str) -> Any:
+        host, _, port = address.rpartition(":")
+        dial_host, dial_port = self._settings.dial_address(host, int(port))
+        socket = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        socket.dial(f"tcp://{dial_host}:{dial_port}", block=False)
+        return socket
+
+    def _receive_all(self) -> None:
+        for _ in range(MAX_MESSAGES_PER_WAKEUP):
+            try:
+                data = self._listener.recv(block=False)
+            except pynng.NNGException:
+                return
+            self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
+        body = data[MAC_BYTES:]
+        if not hmac.compare_digest(data[:MAC_BYTES], self._mac(body)):
+            self._metrics.peer_messages.labels("forged", "unknown").inc()
+            return
+        try:
+            envelope = self._decoder.decode(body)
+        except msgspec.MsgspecError:
+            self._metrics.peer_messages.labels("malformed", "unknown").inc()
+            return
+        order = (envelope.incarnation, envelope.sequence)
+        if order <= self._last_by_sender.get(envelope.sender, (0, 0)):
+            self._metrics.peer_messages.labels("repeated", "unknown").inc()
+            return
+        self._last_by_sender[envelope.sender] = order
+        kind = type(envelope.message)
+        self._metrics.peer_messages.labels("received", kind.__name__).inc()
+        self._metrics.peer_bytes.labels("received").inc(len(data))
+        self.kernel.post(SERVICE_BY_MESSAGE[kind], envelope.reply_to, envelope.message)
+
+    def _mac(self, body: bytes) -> bytes:
+        return blake2b(body, key=self._secret, digest_size=MAC_BYTES).digest()
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interface to the platform: table service, object store and VM list."""
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/target/__init__.py
@@ -0,0 +1,1 @@
+"""Interface to database groups."""
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/target/http_driver.py
@@ -0,0 +1,234 @@
+"""Databases over HTTP/1.1 and JSON."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import msgspec
+from twisted.internet.defer import CancelledError
+
+from guavabarrow_daemon.http.client_connection import (
+    ConnectionBroken,
+    HttpClientConnection,
+    open_connection,
+)
+from guavabarrow_daemon.target.interface import (
+    TargetBroken,
+    TargetConnection,
+    TargetControl,
+    TargetDriver,
+    TargetRefused,
+)
+from guavabarrow_daemon.target.messages import (
+    Begin,
+    Commit,
+    Connect,
+    Execute,
+    Fence,
+    FenceAnswer,
+    Promote,
+    Resolve,
+    Resolved,
+    Result,
+    Status,
+    TargetProblem,
+    Watch,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CONNECT_TIMEOUT_S = 1.0
+
+Answer = TypeVar("Answer")
+
+
+class Empty(msgspec.Struct, frozen=True):
+    """Answer without content."""
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """Answer to a promotion."""
+
+    accepted: bool
+
+
+class HttpTargetConnection(TargetConnection):
+    """Client connection over one TCP connection."""
+
+    def __init__(self, connection: HttpClientConnection, reactor: Any) -> None:
+        self._connection = connection
+        self._reactor = reactor
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can take a request."""
+        return self._connection.is_open
+
+    def set_on_lost(self, callback: Callable[[], None]) -> None:
+        """Set what is called when the connection is lost."""
+        self._connection.on_lost = callback
+
+    async def execute(self, message: Execute, *, timeout_s: float) -> Result:
+        """Run a statement."""
+        return await self._call("/execute", message, Result, timeout_s)
+
+    async def begin(self, term: int, *, timeout_s: float) -> None:
+        """Open a transaction."""
+        await self._call("/begin", Begin(term), Empty, timeout_s)
+
+    async def commit(self, message: Commit, *, timeout_s: float) -> Result:
+        """Commit the open transaction."""
+        return await self._call("/commit", message, Result, timeout_s)
+
+    async def reset(self, *, timeout_s: float) -> None:
+        """Roll back."""
+        await self._call("/reset", Empty(), Empty, timeout_s)
+
+    async def resolve(self, message: Resolve, *, timeout_s: float) -> Resolved:
+        """Look up an outcome."""
+        return await self._call("/resolve", message, Resolved, timeout_s)
+
+    async def connect(self, credential: str) -> None:
+        """Authenticate this VM at the database."""
+        await self._call("/connect", Connect(credential), Empty, CONNECT_TIMEOUT_S)
+
+    def abort(self) -> None:
+        """Close at once."""
+        self._connection.abort()
+
+    async def _call(
+        self, path: str, message: object, answer_type: type[Answer], timeout_s: float
+    ) -> Answer:
+        return await call(
+            self._connection, path, message, answer_type, timeout_s, self._reactor
+        )
+
+
+class HttpTargetControl(TargetControl):
+    """Control client with one connection for watching and one for commands."""
+
+    def __init__(self, host: str, port: int, reactor: Any) -> None:
+        self._address = (host, port)
+        self._reactor = reactor
+        self._connection_by_use: dict[str, HttpClientConnection] = {}
+
+    async def watch(self, message: Watch, *, timeout_s: float) -> Status:
+        """Return the status."""
+        return await self._call("watch", "/status", message, Status, timeout_s)
+
+    async def status(self, *, timeout_s: float) -> Status:
+        """Return the status at once."""
+        return await self._call("probe", "/status", Watch(), Status, timeout_s)
+
+    async def fence(self, term: int, owner: str, *, timeout_s: float) -> FenceAnswer:
+        """Ask for a promise."""
+        message = Fence(term, owner)
+        return await self._call("command", "/fence", message, FenceAnswer, timeout_s)
+
+    async def promote(self, term: int, owner: str, *, timeout_s: float) -> bool:
+        """Ask it to become primary."""
+        message = Promote(term, owner)
+        answer = await self._call("command", "/promote", message, Accepted, timeout_s)
+        return answer.accepted
+
+    def close(self) -> None:
+        """Close the control connections."""
+        for connection in self._connection_by_use.values():
+            connection.abort()
+        self._connection_by_use.clear()
+
+    async def _call(
+        self,
+        use: str,
+        path: str,
+        message: object,
+        answer_type: type[Answer],
+        timeout_s: float,
+    ) -> Answer:
+        connection = self._connection_by_use.get(use)
+        if connection is None or not connection.is_open:
+            host, port = self._address
+            try:
+                connection = await open_connection(
+                    self._reactor, host, port, timeout_s=timeout_s
+                )
+            except ConnectionBroken as error:
+                raise TargetBroken(str(error)) from error
+            self._connection_by_use[use] = connection
+        return await call(
+            connection, path, message, answer_type, timeout_s, self._reactor
+        )
+
+
+class HttpTargetDriver(TargetDriver):
+    """Driver for databases that speak HTTP/1.1 and JSON.
+
+    Parameters
+    ----------
+    reactor : object
+        Reactor that owns the sockets.
+    credential : str
+        Credential of this VM; callers' keys are never sent.
+    """
+
+    def __init__(self, reactor: Any, *, credential: str) -> None:
+        self._reactor = reactor
+        self._credential = credential
+
+    async def connect(self, host: str, port: int) -> HttpTargetConnection:
+        """Open a client connection."""
+        try:
+            raw = await open_connection(
+                self._reactor, host, port, timeout_s=CONNECT_TIMEOUT_S
+            )
+        except ConnectionBroken as error:
+            raise TargetBroken(str(error)) from error
+        connection = HttpTargetConnection(raw, self._reactor)
+        try:
+            await connection.connect(self._credential)
+        except TargetRefused:
+            connection.abort()
+            raise
+        return connection
+
+    def control(self, host: str, port: int) -> HttpTargetControl:
+        """Return a control client."""
+        return HttpTargetControl(host, port, self._reactor)
+
+
+async def call(
+    connection: HttpClientConnection,
+    path: str,
+    message: object,
+    answer_type: type[Answer],
+    timeout_s: float,
+    reactor: Any,
+) -> Answer:
+    """Send one request and decode its answer.
+
+    Raises
+    ------
+    TargetRefused
+        If the database refused it without effect.
+    TargetBroken
+        If there was no answer; the connection is aborted, so that a late answer
+        cannot be taken for another one.
+    """
+    pending = connection.request("POST", path, msgspec.json.encode(message))
+    timer = reactor.callLater(max(0.0, timeout_s), pending.cancel)
+    try:
+        response = await pending
+    except (ConnectionBroken, CancelledError) as error:
+        raise TargetBroken(f"{path}: {error or 'timed out'}") from error
+    finally:
+        if timer.active():
+            timer.cancel()
+    try:
+        if response.status == 200:
+            return msgspec.json.decode(response.body, type=answer_type)
+        problem = msgspec.json.decode(response.body, type=TargetProblem)
+    except msgspec.MsgspecError as error:
+        connection.abort()
+        raise TargetBroken(f"{path}: malformed answer: {error}") from error
+    raise TargetRefused(problem.code, problem.detail)
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/transaction_service.py
@@ -0,0 +1,298 @@
+"""Interactive transactions, each pinned to one connection of the primary."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from secrets import token_urlsafe
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from twisted.internet.task import LoopingCall
+
+from guavabarrow_core.exceptions import (
+    OutcomeUnknown,
+    Overloaded,
+    RequestIdReused,
+    StatementFailed,
+    TransactionLost,
+    UnknownTransaction,
+)
+from guavabarrow_core.group_view import Durability
+from guavabarrow_core.request_id import create_request_id
+from guavabarrow_daemon.group_service import Group, GroupService
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.key_service import KeyService
+from guavabarrow_daemon.statement_service import (
+    RETRY_AFTER_S,
+    StatementService,
+)
+from guavabarrow_daemon.target.interface import TargetBroken, TargetRefused
+from guavabarrow_daemon.target.messages import (
+    CODE_ID_REUSED,
+    CODE_STATEMENT_FAILED,
+    Commit,
+    Execute,
+    Result,
+)
+
+if TYPE_CHECKING:
+    from guavabarrow_core.key_ring import KeyOwner
+    from guavabarrow_daemon.caller_context import CallerContext
+    from guavabarrow_daemon.settings import Settings
+    from guavabarrow_daemon.target.pool import Checkout
+
+CHECK_S = 0.25
+ID_BYTES = 18
+
+
+@dataclass(eq=False, slots=True)
+class OpenTransaction:
+    """An open transaction of one caller.
+
+    Parameters
+    ----------
+    transaction_id : str
+        Unguessable id.
+    owner : KeyOwner
+        Team and key that opened it; nobody else may use it.
+    service : str
+        Service that is written.
+    checkout : Checkout
+        Connection, used by nobody else until the end.
+    term : int
+        Term of the primary.
+    used_at : float
+        Monotonic time of the last statement.
+    """
+
+    transaction_id: str
+    owner: KeyOwner
+    service: str
+    checkout: Checkout
+    term: int
+    used_at: float
+    is_busy: bool = False
+    fingerprint: Any = field(default_factory=lambda: blake2b(digest_size=16))
+
+
+class TransactionService(Service):
+    """Owner of the open transactions of this VM.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Registry.
+    settings : Settings
+        Limits.
+    reactor : object
+        Clock; ``wall_clock`` is used for request ids only.
+    """
+
+    name = "transactions"
+
+    def __init__(
+        self, kernel: Kernel, settings: Settings, reactor: Any, wall_clock: Any
+    ) -> None:
+        super().__init__(kernel)
+        self._settings = settings
+        self._reactor = reactor
+        self._wall_clock = wall_clock
+        self._statements = kernel.find(StatementService)
+        self._groups = kernel.find(GroupService)
+        self._keys = kernel.find(KeyService)
+        self._by_id: dict[str, OpenTransaction] = {}
+        self._loop = LoopingCall(self._end_stale)
+        self._loop.clock = reactor
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    async def start(self) -> None:
+        """Start to look for idle transactions and withdrawn keys."""
+        self._loop.start(CHECK_S)
+
+    async def stop(self) -> None:
+        """Break what is still open; the databases roll back."""
+        if self._loop.running:
+            self._loop.stop()
+        for transaction in list(self._by_id.values()):
+            self._abandon(transaction)
+
+    async def begin(self, context: CallerContext, service: str) -> str:
+        """Open a transaction at the primary.
+
+        Returns
+        -------
+        str
+            Id for the following requests, valid at this VM only.
+        """
+        group = self._groups.find(service)
+        while True:
+            checkout, term = await self._statements.checkout_primary(context, group)
+            timeout_s = context.deadline - self._reactor.seconds()
+            try:
+                await checkout.connection.begin(term, timeout_s=timeout_s)
+            except (TargetBroken, TargetRefused):
+                checkout.release(is_clean=False)
+                await group.wait_report(RETRY_AFTER_S)
+                continue
+            transaction = OpenTransaction(
+                token_urlsafe(ID_BYTES),
+                context.owner,
+                service,
+                checkout,
+                term,
+                self._reactor.seconds(),
+            )
+            self._by_id[transaction.transaction_id] = transaction
+            return transaction.transaction_id
+
+    async def execute(
+        self, context: CallerContext, transaction_id: str, message: Execute
+    ) -> Result:
+        """Run a statement in an open transaction."""
+        transaction = self._take(context, transaction_id)
+        transaction.fingerprint.update(msgspec.json.encode(message))
+        timeout_s = context.deadline - self._reactor.seconds()
+        try:
+            result = await transaction.checkout.connection.execute(
+                message, timeout_s=timeout_s
+            )
+        except TargetBroken as error:
+            self._abandon(transaction)
+            raise TransactionLost(
+                f"The connection of the transaction broke: {error}. "
+                "It is rolled back; begin again."
+            ) from error
+        except TargetRefused as problem:
+            if problem.code == CODE_STATEMENT_FAILED:
+                raise StatementFailed(problem.detail) from problem
+            self._abandon(transaction)
+            raise TransactionLost(
+                f"The database ended the transaction: {problem.code}. Begin again."
+            ) from problem
+        finally:
+            transaction.is_busy = False
+            transaction.used_at = self._reactor.seconds()
+        return result
+
+    async def rollback(self, context: CallerContext, transaction_id: str) -> None:
+        """End a transaction without effect."""
+        transaction = self._take(context, transaction_id)
+        self._by_id.pop(transaction_id, None)
+        timeout_s = context.deadline - self._reactor.seconds()
+        try:
+            await transaction.checkout.connection.reset(timeout_s=timeout_s)
+        except (TargetBroken, TargetRefused):
+            transaction.checkout.release(is_clean=False)
+            return
+        transaction.checkout.release(is_clean=True)
+
+    async def commit(self, context: CallerContext, transaction_id: str) -> Result:
+        """Commit a transaction and acknowledge it once it is durable.
+
+        Raises
+        ------
+        TransactionLost
+            If it had no effect and never will.
+        OutcomeUnknown
+            If that could not be learned before the deadline.
+        """
+        transaction = self._take(context, transaction_id)
+        self._by_id.pop(transaction_id, None)
+        request_id = context.request_id or create_request_id(self._wall_clock())
+        message = Commit(context.team, request_id, transaction.fingerprint.hexdigest())
+        timeout_s = context.deadline - self._reactor.seconds()
+        try:
+            result = await transaction.checkout.connection.commit(
+                message, timeout_s=timeout_s
+            )
+        except TargetBroken:
+            transaction.checkout.release(is_clean=False)
+            return await self._resolve(context, transaction, request_id)
+        except TargetRefused as problem:
+            transaction.checkout.release(is_clean=True)
+            raise _commit_refusal(problem) from problem
+        transaction.checkout.release(is_clean=True)
+        group = self._groups.find(transaction.service)
+        return await self._acknowledge(context, group, result, request_id, transaction)
+
+    async def _acknowledge(
+        self,
+        context: CallerContext,
+        group: Group,
+        result: Result,
+        request_id: str,
+        transaction: OpenTransaction,
+    ) -> Result:
+        durability = await group.wait_durable(
+            result.position, deadline=context.deadline
+        )
+        if durability is Durability.DURABLE:
+            context.token = context.token.advanced(group.name, result.position)
+            return result
+        if durability is Durability.LOST:
+            return await self._resolve(context, transaction, request_id)
+        raise OutcomeUnknown(
+            "The commit is not yet on a majority of the databases.",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    async def _resolve(
+        self, context: CallerContext, transaction: OpenTransaction, request_id: str
+    ) -> Result:
+        result = await self._statements.resolve(
+            context, transaction.service, request_id
+        )
+        if result is None:
+            raise TransactionLost(
+                "The connection broke before the commit; the transaction was rolled "
+                "back. Begin again with a new Request-Id."
+            )
+        return result
+
+    def _take(self, context: CallerContext, transaction_id: str) -> OpenTransaction:
+        transaction = self._by_id.get(transaction_id)
+        if transaction is None or transaction.owner.team != context.team:
+            raise UnknownTransaction(
+                "No such transaction is open at this VM; it ended, expired or was "
+                "opened elsewhere."
+            )
+        if transaction.is_busy:
+            raise Overloaded(
+                "A statement of this transaction is still running.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if not transaction.checkout.connection.is_open:
+            self._abandon(transaction)
+            raise TransactionLost(
+                "The connection of the transaction broke. It is rolled back; "
+                "begin again."
+            )
+        transaction.is_busy = True
+        return transaction
+
+    def _abandon(self, transaction: OpenTransaction) -> None:
+        self._by_id.pop(transaction.transaction_id, None)
+        transaction.checkout.release(is_clean=False)
+
+    def _end_stale(self) -> None:
+        now = self._reactor.seconds()
+        idle_s = self._settings.limits.transaction_idle_ms / 1000
+        for transaction in list(self._by_id.values()):
+            is_idle = not transaction.is_busy and now - transaction.used_at > idle_s
+            if is_idle or not self._keys.is_in_force(transaction.owner):
+                self._abandon(transaction)
+
+
+def _commit_refusal(problem: TargetRefused) -> Exception:
+    if problem.code == CODE_ID_REUSED:
+        return RequestIdReused(
+            "The Request-Id was used before with another request; not run."
+        )
+    if problem.code == CODE_STATEMENT_FAILED:
+        return StatementFailed(problem.detail)
+    return TransactionLost(
+        f"The database did not commit: {problem.code}. It is rolled back; begin again."
+    )
