--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Two commands do all the set-up: `make demo` and `make test`.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+
+.PHONY: demo test bench clean
+
+demo: $(STAMP)
+	$(BIN)/guavabarrow demo
+
+test: $(STAMP)
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy
+	$(BIN)/python -m pytest
+
+bench: $(STAMP)
+	$(BIN)/python benchmarks/path.py
+
+$(STAMP): constraints.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt poetry-core
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt --no-build-isolation \
+		--editable packages/guavabarrow-core \
+		--editable packages/guavabarrow-daemon \
+		--editable "packages/guavabarrow-cli[plots]"
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt \
+		hypothesis mypy pytest pytest-bdd ruff
+	touch $(STAMP)
+
+clean:
+	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the binary ``guavabarrow``, one class for each noun."""
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/embedded_fleet.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/embedded_fleet.py
@@ -1,4 +1,4 @@
-"""A whole fleet with its stand-ins in one process, for demonstration and measurement."""
+"""A whole fleet with its stand-ins in one process."""
 
 from __future__ import annotations
 
@@ -14,7 +14,14 @@
     Faults,
 )
 from guavabarrow_cli.standins.platform_server import PlatformServer
-from guavabarrow_core.fleet import FailureDomain, Service, Target, Team, Template
+from guavabarrow_core.fleet import (
+    FailureDomain,
+    Service,
+    Target,
+    Team,
+    Template,
+    hash_key,
+)
 from guavabarrow_core.fleet_change import (
     Change,
     GiveKey,
@@ -23,7 +30,6 @@
     PutTeam,
     PutTemplate,
 )
-from guavabarrow_core.fleet import hash_key
 from guavabarrow_daemon.configuration_service import ConfigurationService
 from guavabarrow_daemon.entry_vm import EntryVm
 from guavabarrow_daemon.settings import Settings
@@ -250,6 +256,14 @@
         self.database_by_name[name] = server
         return server
 
+    async def stop_database(self, name: str) -> None:
+        """Stop one database as the end of its process would."""
+        await self.database_by_name.pop(name).stop()
+
+    async def stop_vm(self, name: str) -> None:
+        """Stop one VM without a drain."""
+        await self.vm_by_name.pop(name).stop()
+
     async def start_vm(self, name: str) -> EntryVm:
         """Start one VM, also again after it was stopped."""
         vm = EntryVm(self.settings_by_vm[name], self._reactor)
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/fleet_file.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/fleet_file.py
@@ -143,11 +143,15 @@
             document = jsonc.loads(Path(path).read_text(encoding="utf-8"))
             return cls.model_validate(document)
         except OSError as error:
-            raise SettingsError([f"{path}: cannot be read: {error.strerror}"]) from error
+            raise SettingsError(
+                [f"{path}: cannot be read: {error.strerror}"]
+            ) from error
         except ValidationError as error:
             raise SettingsError(describe_mistakes(path, error)) from error
         except ValueError as error:
-            raise SettingsError([f"{path}: is not JSON with comments: {error}"]) from error
+            raise SettingsError(
+                [f"{path}: is not JSON with comments: {error}"]
+            ) from error
 
     def to_changes(self) -> tuple[Change, ...]:
         """Return the changes that bring the file's content into force."""
--- /dev/null
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
@@ -0,0 +1,39 @@
+"""Binary ``guavabarrow``."""
+
+from __future__ import annotations
+
+import fire
+
+from guavabarrow_cli.commands.demo_command import demo
+from guavabarrow_cli.commands.fleet_commands import (
+    DomainCommand,
+    FleetCommand,
+    KeyCommand,
+    TargetCommand,
+    TeamCommand,
+    TemplateCommand,
+)
+from guavabarrow_cli.commands.standin_commands import StandinCommand
+from guavabarrow_cli.commands.vm_commands import StatusCommand, VmCommand
+
+COMMANDS = {
+    "demo": demo,
+    "domain": DomainCommand,
+    "fleet": FleetCommand,
+    "key": KeyCommand,
+    "standin": StandinCommand,
+    "status": StatusCommand,
+    "target": TargetCommand,
+    "team": TeamCommand,
+    "template": TemplateCommand,
+    "vm": VmCommand,
+}
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(COMMANDS, name="guavabarrow")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/standins/database_engine.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/standins/database_engine.py
@@ -5,8 +5,7 @@
 import sqlite3
 import time
 from dataclasses import dataclass, field
-from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -29,6 +28,9 @@
     Result,
 )
 
+if TYPE_CHECKING:
+    from pathlib import Path
+
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS _gb_meta (name TEXT PRIMARY KEY, value TEXT NOT NULL);
 CREATE TABLE IF NOT EXISTS _gb_log (
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/standins/fault_relay.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/standins/fault_relay.py
@@ -25,7 +25,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm."""
         self.is_open = True
-        self.transport.setTcpNoDelay(True)  # type: ignore[union-attr]
+        self.transport.setTcpNoDelay(True)
 
     def join(self, peer: RelaySide) -> None:
         """Connect the two sides and pass on what came early."""
@@ -49,14 +49,14 @@
     def send(self, data: bytes) -> None:
         """Write to this side if it is still open."""
         if self.is_open:
-            self.transport.write(data)  # type: ignore[union-attr]
+            self.transport.write(data)
 
     def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:  # noqa: N802
         """Close the other side too."""
         self.is_open = False
         self._relay.sides.discard(self)
         if self._peer is not None and self._peer.is_open:
-            self._peer.transport.loseConnection()  # type: ignore[union-attr]
+            self._peer.transport.loseConnection()
 
 
 class FaultRelay(Factory):
@@ -101,15 +101,15 @@
             return
         for side in list(self.sides):
             if side.is_open:
-                side.transport.abortConnection()  # type: ignore[union-attr]
+                side.transport.abortConnection()
 
     def _join(self, side: RelaySide, far: RelaySide) -> None:
         side.join(far)
         far.join(side)
         if not side.is_open and far.is_open:
-            far.transport.loseConnection()  # type: ignore[union-attr]
+            far.transport.loseConnection()
 
     def _drop(self, side: RelaySide, far: RelaySide) -> None:
         self.sides.discard(far)
         if side.is_open:
-            side.transport.abortConnection()  # type: ignore[union-attr]
+            side.transport.abortConnection()
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/standins/platform_server.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/standins/platform_server.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
-from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from guavabarrow_daemon.http.site import Routes, TrackedSite, answer, answer_json
@@ -21,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.defer import Deferred
     from twisted.web.server import Request
 
 Message = TypeVar("Message")
--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet_change.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet_change.py
@@ -218,7 +218,7 @@
 
 
 def _put(parts: dict[str, Part], part: Part) -> dict[str, Part]:
-    return {**parts, part.name: part}  # type: ignore[attr-defined]
+    return {**parts, part.name: part}
 
 
 def _find(parts: dict[str, Part], name: str, kind: str) -> Part:
--- a/packages/guavabarrow-core/src/guavabarrow_core/lease.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/lease.py
@@ -109,6 +109,12 @@
     ----------
     vm : str
         Name of this VM.
+
+    Attributes
+    ----------
+    is_founder : bool
+        Whether this process created the row and was never paused since, so that
+        no earlier holder can have granted anything.
     """
 
     def __init__(self, vm: str) -> None:
@@ -122,6 +128,7 @@
         self._suspended_until = float("-inf")
         self._ticked_at: float | None = None
         self._superseded = False
+        self.is_founder = False
 
     def holds(self, now: float) -> bool:
         """Tell whether this VM may act as the holder at ``now``."""
@@ -185,6 +192,8 @@
             return
         if event.written:
             self._superseded = False
+            if event.row.epoch == 1 and event.row.renewal == 0:
+                self.is_founder = True
             self._valid_until = max(self._valid_until, event.asked_at + LEASE_S)
 
     def _on_tick(self, event: LeaseTick, now: float) -> list[LeaseAction]:
@@ -210,6 +219,7 @@
             self._suspended_until = now + LEASE_S
             self._valid_until = float("-inf")
             self._row_changed_at = None
+            self.is_founder = False
         self._ticked_at = now
 
     def _may_take_over(self, event: LeaseTick, now: float) -> bool:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
@@ -172,7 +172,7 @@
         try:
             await handler(request, context, name)
         except Refusal as refusal:
-            refusal.team = context.team  # type: ignore[attr-defined]
+            refusal.team = context.team
             raise
         return context.team
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/http/client_connection.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/http/client_connection.py
@@ -72,7 +72,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm: each message is one write."""
         self.is_open = True
-        self.transport.setTcpNoDelay(True)  # type: ignore[union-attr]
+        self.transport.setTcpNoDelay(True)
 
     def request(
         self,
@@ -106,9 +106,7 @@
         self._headers = {}
         self._size = 0
         self._parser = HttpResponseParser(self)
-        self.transport.write(  # type: ignore[union-attr]
-            self._render(method, path, body, headers)
-        )
+        self.transport.write(self._render(method, path, body, headers))
         return result
 
     def abort(self) -> None:
@@ -116,7 +114,7 @@
         if not self.is_open:
             return
         self.is_open = False
-        self.transport.abortConnection()  # type: ignore[union-attr]
+        self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed the parser; bytes that nobody asked for break the connection."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
@@ -121,9 +121,9 @@
         return self._lease.holds(self._reactor.seconds())
 
     @property
-    def is_first_epoch(self) -> bool:
+    def is_founder(self) -> bool:
         """Whether nobody has held the lease before, so nothing can be granted."""
-        return self._lease.epoch == 1
+        return self._lease.is_founder
 
     async def start(self) -> None:
         """Start to contend for the lease."""
@@ -332,7 +332,7 @@
         bucket = self._bucket_by_team.get(team)
         if bucket is None:
             limits = self._domain_limits(team)
-            level = limits.burst if self.is_first_epoch else 0.0
+            level = limits.burst if self.is_founder else 0.0
             bucket = DomainBucket(
                 limits.rate_per_s, limits.burst, self._opens_at, level
             )
@@ -396,7 +396,7 @@
         self._was_holder = is_holder
         self._held_epoch = self._lease.epoch
         self._opens_at = self._reactor.seconds()
-        if not self.is_first_epoch:
+        if not self.is_founder:
             self._opens_at += GRANT_TTL_S
         self._bucket_by_team.clear()
         self._loan_rounds.clear()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
@@ -195,7 +195,7 @@
             self._book_by_target.clear()
         elif self._holder_since is None:
             self._holder_since = now
-            if self._ledger.is_first_epoch:
+            if self._ledger.is_founder:
                 self._holder_since -= PERMIT_TTL_S
 
     def _book(self, target: str) -> PermitBook | None:
