--- /dev/null
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/load_result.py
@@ -0,0 +1,113 @@
+"""Results of a load, per team and as a whole."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 3
+PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+
+
+def create_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+@dataclass(slots=True)
+class TeamResult:
+    """What the callers of one team saw.
+
+    Latencies are counted from the intended start of each request, so a stalled
+    system cannot hide requests that it kept from being sent.
+    """
+
+    team: str
+    sent: int = 0
+    count_by_code: dict[str, int] = field(default_factory=dict)
+    count_by_source: dict[str, int] = field(default_factory=dict)
+    latency: HdrHistogram = field(default_factory=create_histogram)
+    admitted: list[tuple[float, float]] = field(default_factory=list)
+    answered_writes: list[float] = field(default_factory=list)
+
+    @property
+    def served(self) -> int:
+        """Requests with a result."""
+        return self.count_by_code.get("ok", 0)
+
+    @property
+    def served_share(self) -> float:
+        """Share of requests with a result."""
+        return self.served / self.sent if self.sent else 1.0
+
+    def record(self, code: str, latency_s: float) -> None:
+        """Count one answer."""
+        self.count_by_code[code] = self.count_by_code.get(code, 0) + 1
+        latency_us = int(latency_s * 1e6)
+        self.latency.record_value(min(HIGHEST_US, max(LOWEST_US, latency_us)))
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the result as a JSON document; latencies in milliseconds."""
+        latency = {
+            f"p{percentile:g}": self.latency.get_value_at_percentile(percentile) / 1000
+            for percentile in PERCENTILES
+        }
+        return {
+            "team": self.team,
+            "sent": self.sent,
+            "served_share": round(self.served_share, 5),
+            "by_code": self.count_by_code,
+            "reads_by_source": self.count_by_source,
+            "latency_ms": latency,
+        }
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """Result of a whole load."""
+
+    duration_s: float
+    by_team: dict[str, TeamResult]
+
+    @property
+    def worst_served_share(self) -> float:
+        """Share of requests with a result of the worst-served team."""
+        return min(result.served_share for result in self.by_team.values())
+
+    @property
+    def replica_share(self) -> float:
+        """Share of reads that replicas served."""
+        replica = primary = 0
+        for result in self.by_team.values():
+            replica += result.count_by_source.get("replica", 0)
+            primary += result.count_by_source.get("primary", 0)
+        reads = replica + primary
+        return replica / reads if reads else 0.0
+
+    def longest_write_gap(self, since: float, until: float) -> float:
+        """Return the longest time without an acknowledged write, seconds."""
+        times = sorted(
+            time
+            for result in self.by_team.values()
+            for time in result.answered_writes
+            if since <= time <= until
+        )
+        marks = [since, *times, until]
+        return max(
+            later - earlier for earlier, later in zip(marks, marks[1:], strict=False)
+        )
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the result as a JSON document."""
+        sent = sum(result.sent for result in self.by_team.values())
+        return {
+            "duration_s": round(self.duration_s, 3),
+            "sent_per_s": round(sent / self.duration_s, 1),
+            "worst_served_share": round(self.worst_served_share, 5),
+            "replica_share": round(self.replica_share, 4),
+            "teams": [result.to_document() for result in self.by_team.values()],
+        }
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
@@ -13,6 +13,7 @@
     TeamCommand,
     TemplateCommand,
 )
+from guavabarrow_cli.commands.load_command import load
 from guavabarrow_cli.commands.standin_commands import StandinCommand
 from guavabarrow_cli.commands.vm_commands import StatusCommand, VmCommand
 
@@ -21,6 +22,7 @@
     "domain": DomainCommand,
     "fleet": FleetCommand,
     "key": KeyCommand,
+    "load": load,
     "standin": StandinCommand,
     "status": StatusCommand,
     "target": TargetCommand,
--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet_change.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet_change.py
@@ -21,6 +21,7 @@
 )
 
 Part = TypeVar("Part")
+Named = TypeVar("Named", Template, Team, Service, FailureDomain, OpenRoute)
 
 
 class PutTemplate(msgspec.Struct, tag=True, frozen=True):
@@ -217,7 +218,7 @@
     return replace(team, key_hash_by_id=known.key_hash_by_id)
 
 
-def _put(parts: dict[str, Part], part: Part) -> dict[str, Part]:
+def _put(parts: dict[str, Named], part: Named) -> dict[str, Named]:
     return {**parts, part.name: part}
 
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/membership.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/membership.py
@@ -175,7 +175,8 @@
             Up to ``FANOUT`` live members and at most one that seems dead, so that
             two sides of a healed partition find each other.
         """
-        live, dead = [], []
+        live: list[Heartbeat] = []
+        dead: list[Heartbeat] = []
         for vm, beat in self.by_vm.items():
             if vm == self.own.vm:
                 continue
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
@@ -64,6 +65,15 @@
     retry_after_ms: int | None = None
 
 
+@dataclass(slots=True)
+class RequestRecord:
+    """What is counted about one request."""
+
+    team: str = UNKNOWN_TEAM
+    code: str = "ok"
+    ran: Ran = Ran.RAN
+
+
 class CallerApi(Service):
     """Owner of the listening port for callers.
 
@@ -135,22 +145,24 @@
     async def _handle(self, request: Request) -> None:
         started_at = self._reactor.seconds()
         self._drain.begin_request()
-        team = UNKNOWN_TEAM
-        code = "ok"
-        ran = Ran.RAN
+        record = RequestRecord()
         try:
-            team = await self._dispatch(request, started_at)
+            await self._dispatch(request, started_at, record)
         except Refusal as refusal:
-            code, ran = refusal.code, refusal.ran
-            team = getattr(refusal, "team", UNKNOWN_TEAM)
+            record.code, record.ran = refusal.code, refusal.ran
             self._refuse(request, refusal)
         finally:
             self._drain.end_request()
-            self._metrics.requests.labels(team, code, ran.value).inc()
-            elapsed_s = self._reactor.seconds() - started_at
-            self._metrics.latency.labels(team, code).observe(elapsed_s)
+            self._count(record, self._reactor.seconds() - started_at)
+
+    def _count(self, record: RequestRecord, elapsed_s: float) -> None:
+        labels = (record.team, record.code, record.ran.value)
+        self._metrics.requests.labels(*labels).inc()
+        self._metrics.latency.labels(record.team, record.code).observe(elapsed_s)
 
-    async def _dispatch(self, request: Request, started_at: float) -> str:
+    async def _dispatch(
+        self, request: Request, started_at: float, record: RequestRecord
+    ) -> None:
         if not self._drain.is_ready:
             request.responseHeaders.setRawHeaders(b"connection", [b"close"])
         match request.path.decode("utf-8", "replace").split("/")[1:]:
@@ -161,20 +173,16 @@
             case ["v1", "transactions", transaction_id, action]:
                 handler, name = self._transaction_handler(action), transaction_id
             case ["v1", "open", route]:
+                record.team = OPEN_TEAM
                 await self._open_route(request, route, started_at)
-                return OPEN_TEAM
+                return
             case _:
                 raise UnknownRoute("No such path; see docs/api.md.")
         if request.method != b"POST":
             raise UnknownRoute("Use POST.")
-        key = self._read_key(request)
-        context = self._context(request, key, started_at)
-        try:
-            await handler(request, context, name)
-        except Refusal as refusal:
-            refusal.team = context.team
-            raise
-        return context.team
+        context = self._context(request, self._read_key(request), started_at)
+        record.team = context.team
+        await handler(request, context, name)
 
     def _transaction_handler(self, action: str) -> Any:
         handlers = {
--- /dev/null
+++ b/tests/harness/caller.py
@@ -0,0 +1,223 @@
+"""A blocking caller that records what it saw, and a crowd of them in threads."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from contextlib import suppress
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+from guavabarrow_cli.embedded_fleet import LOOPBACK
+from guavabarrow_core.exceptions import Ran
+from guavabarrow_core.history import History, ReadSeen, WriteSeen
+from guavabarrow_core.request_id import create_request_id
+
+SERVICE = "orders-db"
+
+
+@dataclass
+class Answer:
+    status: int
+    body: dict[str, Any]
+    headers: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def ok(self) -> bool:
+        return 200 <= self.status < 300
+
+    @property
+    def ran(self) -> Ran:
+        if self.status == 0:
+            return Ran.OUTCOME_UNKNOWN
+        return Ran(self.body.get("ran", "ran" if self.ok else "not_run"))
+
+
+class Caller:
+    """One session; it moves between VMs and carries its token along."""
+
+    def __init__(
+        self, ports: list[int], key: str, *, name: str = "s", deadline_s: float = 15.0
+    ) -> None:
+        self.name = name
+        self.token: str | None = None
+        self.position = 0
+        self._ports = ports
+        self._key = key
+        self._deadline_s = deadline_s
+        self._connection: HTTPConnection | None = None
+
+    def move(self, position: int | None = None) -> None:
+        self.close()
+        following = self.position + 1 if position is None else position
+        self.position = following % len(self._ports)
+
+    def close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def post(
+        self, path: str, body: Any, headers: dict[str, str] | None = None
+    ) -> Answer:
+        sent = {
+            "Authorization": f"Bearer {self._key}",
+            "Deadline-Ms": str(self._deadline_s * 1000),
+            **(headers or {}),
+        }
+        if self.token:
+            sent["Session-Token"] = self.token
+        if self._connection is None:
+            port = self._ports[self.position]
+            self._connection = HTTPConnection(
+                LOOPBACK, port, timeout=self._deadline_s + 10
+            )
+        try:
+            self._connection.request("POST", path, json.dumps(body), sent)
+            response = self._connection.getresponse()
+            content = json.loads(response.read())
+        except (OSError, HTTPException, ValueError) as error:
+            self.close()
+            return Answer(0, {"code": "broken", "detail": repr(error)})
+        self.token = response.headers.get("Session-Token", self.token)
+        if response.will_close:
+            self.close()
+        return Answer(response.status, content, dict(response.headers))
+
+    def write(
+        self, sql: str, *params: Any, request_id: str = "", service: str = SERVICE
+    ) -> Answer:
+        headers = {"Request-Id": request_id or create_request_id(time.time())}
+        body = {"sql": sql, "params": params}
+        return self.post(f"/v1/services/{service}/statements", body, headers)
+
+    def read(
+        self,
+        sql: str,
+        *params: Any,
+        max_age_ms: float | None = None,
+        service: str = SERVICE,
+    ) -> Answer:
+        body: dict[str, Any] = {"sql": sql, "params": params, "read": True}
+        if max_age_ms is not None:
+            body["max_age_ms"] = max_age_ms
+        return self.post(f"/v1/services/{service}/statements", body)
+
+    def begin(self, service: str = SERVICE) -> str:
+        answer = self.post(f"/v1/services/{service}/transactions", {})
+        assert answer.ok, answer
+        return answer.body["transaction_id"]
+
+    def execute(self, transaction: str, sql: str, *params: Any) -> Answer:
+        path = f"/v1/transactions/{transaction}/statements"
+        return self.post(path, {"sql": sql, "params": params})
+
+    def commit(self, transaction: str, request_id: str = "") -> Answer:
+        headers = {"Request-Id": request_id} if request_id else {}
+        return self.post(f"/v1/transactions/{transaction}/commit", {}, headers)
+
+
+class Crowd:
+    """Sessions that insert rows and read them back until they are stopped."""
+
+    def __init__(
+        self, ports: list[int], key: str, *, size: int = 6, pause_s: float = 0.01
+    ) -> None:
+        self.history = History()
+        self.failures: list[Answer] = []
+        self._ports = ports
+        self._key = key
+        self._pause_s = pause_s
+        self._stop = threading.Event()
+        self._lock = threading.Lock()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,), daemon=True)
+            for number in range(size)
+        ]
+
+    def __enter__(self) -> Crowd:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(timeout=60)
+
+    @property
+    def acknowledged(self) -> int:
+        return sum(write.ran is Ran.RAN for write in self.history.writes)
+
+    def _run(self, number: int) -> None:
+        caller = Caller(self._ports, self._key, name=f"session-{number}")
+        caller.position = number % len(self._ports)
+        count = 0
+        while not self._stop.is_set():
+            count += 1
+            self._write(caller, f"{caller.name}/{count}")
+            if count % 2:
+                caller.move()
+            self._read(caller, f"{caller.name}/{count}", count)
+            time.sleep(self._pause_s)
+
+    def _write(self, caller: Caller, row: str) -> None:
+        """Write a row; an unknown outcome is asked for again with the same id."""
+        request_id = create_request_id(time.time())
+        sent_at = time.monotonic()
+        in_doubt = False
+        ran = Ran.OUTCOME_UNKNOWN
+        for _ in range(5):
+            answer = caller.write(
+                "INSERT INTO entry VALUES (?)", row, request_id=request_id
+            )
+            if answer.status and not answer.ok:
+                self.failures.append(answer)
+            if answer.ran is Ran.OUTCOME_UNKNOWN:
+                in_doubt = True
+                caller.move()
+                time.sleep(0.05)
+                continue
+            # The refusal of a repeat says nothing about an earlier attempt.
+            if answer.ok or not in_doubt:
+                ran = answer.ran
+            if answer.ok:
+                break
+            if not in_doubt:
+                break
+        with self._lock:
+            self.history.writes.append(
+                WriteSeen(caller.name, row, sent_at, time.monotonic(), ran)
+            )
+
+    def _read(self, caller: Caller, nonce: str, count: int) -> None:
+        max_age_ms = 2000.0 if count % 3 == 0 else None
+        sent_at = time.monotonic()
+        answer = caller.read("SELECT row, ? FROM entry", nonce, max_age_ms=max_age_ms)
+        if answer.status == 0:
+            caller.move()
+            return
+        if not answer.ok:
+            self.failures.append(answer)
+            return
+        rows = answer.body["rows"]
+        read = ReadSeen(
+            caller.name,
+            frozenset(row for row, _ in rows),
+            sent_at,
+            time.monotonic(),
+            None if max_age_ms is None else max_age_ms / 1000,
+            nonce,
+            rows[0][1] if rows else nonce,
+        )
+        with self._lock:
+            self.history.reads.append(read)
+
+    def final_rows(self, caller: Caller) -> list[str]:
+        with suppress(TimeoutError):
+            answer = caller.read("SELECT row FROM entry", max_age_ms=0)
+            assert answer.ok, answer
+            return [row for (row,) in answer.body["rows"]]
+        return []
