--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/http/site.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/http/site.py
@@ -69,7 +69,6 @@
         if not self.is_too_large:
             self.content.write(data)
 
-
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
--- a/tests/harness/caller.py
+++ b/tests/harness/caller.py
@@ -46,7 +46,7 @@
         self.position = 0
         self._ports = ports
         self._key = key
-        self._deadline_s = deadline_s
+        self.deadline_s = deadline_s
         self._connection: HTTPConnection | None = None
 
     def move(self, position: int | None = None) -> None:
@@ -64,7 +64,7 @@
     ) -> Answer:
         sent = {
             "Authorization": f"Bearer {self._key}",
-            "Deadline-Ms": str(self._deadline_s * 1000),
+            "Deadline-Ms": str(self.deadline_s * 1000),
             **(headers or {}),
         }
         if self.token:
@@ -72,7 +72,7 @@
         if self._connection is None:
             port = self._ports[self.position]
             self._connection = HTTPConnection(
-                LOOPBACK, port, timeout=self._deadline_s + 10
+                LOOPBACK, port, timeout=self.deadline_s + 10
             )
         try:
             self._connection.request("POST", path, json.dumps(body), sent)
@@ -129,6 +129,7 @@
         self.failures: list[Answer] = []
         self._ports = ports
         self._key = key
+        self.deadline_s = 15.0
         self._pause_s = pause_s
         self._stop = threading.Event()
         self._lock = threading.Lock()
@@ -157,6 +158,7 @@
         count = 0
         while not self._stop.is_set():
             count += 1
+            caller.deadline_s = self.deadline_s
             self._write(caller, f"{caller.name}/{count}")
             if count % 2:
                 caller.move()
--- /dev/null
+++ b/tests/harness/world.py
@@ -0,0 +1,94 @@
+"""State that the steps of one scenario share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from guavabarrow_cli.embedded_fleet import Layout, LayoutService, LayoutTeam
+from guavabarrow_core.fleet import OpenRoute
+from harness.caller import SERVICE, Caller, Crowd
+from harness.process_fleet import ProcessFleet, wait_until
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+DOMAINS = ("dar-kariakoo", "dar-temeke", "dar-ubungo")
+KILIMA = LayoutTeam("kilima", (SERVICE,), rate_per_s=1e5, burst=1e5)
+MTO = LayoutTeam("mto", ("stock-db",), rate_per_s=1e5, burst=1e5)
+
+
+@dataclass
+class World:
+    directory: Path
+    fleet: ProcessFleet | None = None
+    crowd: Crowd | None = None
+    facts: dict[str, Any] = field(default_factory=dict)
+
+    def start(
+        self,
+        *,
+        lag_ms: float = 0.0,
+        vm_domains: tuple[str, ...] = DOMAINS,
+        teams: tuple[LayoutTeam, ...] = (KILIMA, MTO),
+        connections: int = 20,
+        statement_ms: float = 0.0,
+        **vm_extra: Any,
+    ) -> ProcessFleet:
+        services = (
+            LayoutService(SERVICE, DOMAINS, connections, 3),
+            LayoutService("stock-db", DOMAINS, connections, 3),
+        )
+        layout = Layout(
+            vm_domains, services, teams, lag_ms=lag_ms, statement_ms=statement_ms
+        )
+        route = OpenRoute("notice", SERVICE, "SELECT 'open' AS notice")
+        self.fleet = ProcessFleet(
+            layout, self.directory, open_routes=(route,), vm_extra=vm_extra
+        )
+        self.fleet.start()
+        answer = self.caller().write("CREATE TABLE entry (row TEXT)")
+        assert answer.ok, answer
+        return self.fleet
+
+    def stop(self) -> None:
+        if self.crowd is not None:
+            self.crowd.__exit__()
+        if self.fleet is not None:
+            for name in self.fleet.process_by_name:
+                self.fleet.resume(name)
+            self.fleet.stop()
+
+    @property
+    def ports(self) -> list[int]:
+        assert self.fleet is not None
+        return [
+            self.fleet.port_by_name[vm]
+            for vm in self.fleet.vms
+            if vm in self.fleet.process_by_name
+        ]
+
+    def caller(self, team: LayoutTeam = KILIMA, **options: Any) -> Caller:
+        return Caller(self.ports, team.key, **options)
+
+    def start_crowd(self, **options: Any) -> Crowd:
+        self.crowd = Crowd(self.ports, KILIMA.key, **options)
+        self.crowd.__enter__()
+        return self.crowd
+
+    def wait_acknowledged(self, count: int) -> None:
+        assert self.crowd is not None
+        crowd = self.crowd
+        before = crowd.acknowledged
+        wait_until(lambda: crowd.acknowledged >= before + count, f"{count} more writes")
+
+    def end_crowd(self) -> Crowd:
+        assert self.crowd is not None
+        crowd, self.crowd = self.crowd, None
+        crowd.__exit__()
+        return crowd
+
+    def rows(self) -> list[str]:
+        answer = self.caller().read("SELECT row FROM entry", max_age_ms=0)
+        assert answer.ok, answer
+        return [row for (row,) in answer.body["rows"]]
