Prove the fleet on real processes and serve without a store

Cause: the fleet's promises had no proof. Two of 15 scenarios failed first: a VM that is alone in its domain and restarts while the store is down found no ledger and refused everything; one step asked a VM of the domain that was out of service for the final state (fault of the step, which now asks a VM that is ready). Change: a VM whose domain has no ledger holder asks another domain's; while the store is down the first choice of the live VMs takes the lease over with a higher epoch in its heartbeats. A new scenario (a cut-off domain loses its ledger holder) failed: a new holder granted no permits for 3 s. It now registers live VMs for 1 s; the database's own limit stays the last check.

--- a/packages/guavabarrow-core/src/guavabarrow_core/lease.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/lease.py
@@ -13,6 +13,7 @@
 RENEW_S = 0.5
 CLOCK_MARGIN_S = 0.2
 MAX_TICK_GAP_S = 0.6
+STORELESS_TAKEOVER_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +63,14 @@
     """The table service did not answer; a write may have taken effect."""
 
 
+@dataclass(frozen=True, order=True, slots=True)
+class Claim:
+    """A heartbeat in which a VM says that it holds the lease."""
+
+    epoch: int
+    vm: str
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseTick:
     """Time has passed.
@@ -70,15 +79,21 @@
     ----------
     wants : bool
         Whether this VM should hold the lease if nobody does.
+    is_first : bool
+        Whether it is the first choice among the live VMs.
     holder_silent : bool
-        Whether the known holder's heartbeats have stopped.
+        Whether no live VM claims the lease and the holder of the row is silent.
     known_epoch : int
         Highest epoch that heartbeats mention.
+    rival : Claim or None
+        Newest claim of another live VM.
     """
 
     wants: bool
+    is_first: bool
     holder_silent: bool
     known_epoch: int = 0
+    rival: Claim | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,10 +115,12 @@
 class Lease:
     """State machine of one lease at one VM.
 
-    While the table service is down nobody can take a lease over, so the holder goes
-    on as long as it was never paused. Partitions separate failure domains, and a
-    lease is contested only inside one: a VM that hears the holder's heartbeats
-    never takes over.
+    While the table service is down the holder goes on as long as it was never
+    paused. If the holder falls silent too, the first choice among the live VMs takes
+    over without the row and claims a higher epoch in its heartbeats. That is safe
+    because partitions separate failure domains and a lease is contested only inside
+    one: a VM that hears a claim never takes over, and a VM that resumes from a pause
+    hears the newer claim before it acts.
 
     Parameters
     ----------
@@ -124,7 +141,7 @@
         self._valid_until = float("-inf")
         self._asked_at = float("-inf")
         self._pending = False
-        self._store_down = False
+        self._store_down_since: float | None = None
         self._suspended_until = float("-inf")
         self._ticked_at: float | None = None
         self._superseded = False
@@ -138,7 +155,7 @@
             return False
         if now < self._valid_until:
             return True
-        return self._store_down and now >= self._suspended_until
+        return self._store_down_since is not None and now >= self._suspended_until
 
     @property
     def epoch(self) -> int:
@@ -166,7 +183,8 @@
                 return []
             case StoreFailed():
                 self._pending = False
-                self._store_down = True
+                if self._store_down_since is None:
+                    self._store_down_since = now
                 return []
             case LeaseTick():
                 return self._on_tick(event, now)
@@ -182,7 +200,7 @@
 
     def _on_row(self, event: RowRead, now: float) -> None:
         self._pending = False
-        self._store_down = False
+        self._store_down_since = None
         changed = event.row != self.row
         self.row = event.row
         if changed or self._row_changed_at is None:
@@ -198,8 +216,11 @@
 
     def _on_tick(self, event: LeaseTick, now: float) -> list[LeaseAction]:
         self._notice_pause(now)
-        if event.known_epoch > self.row.epoch:
+        own = Claim(self.row.epoch, self._vm)
+        if self.row.holder == self._vm and event.rival and event.rival > own:
             self._superseded = True
+        if self._may_take_over_storeless(event, now):
+            self._take_over_storeless(event, now)
         if self._pending or now - self._asked_at < RENEW_S:
             return []
         self._asked_at = now
@@ -207,7 +228,7 @@
         if self.row.holder == self._vm and not self._superseded:
             return [WriteRow(self._renewed())]
         if event.wants and self._may_take_over(event, now):
-            return [WriteRow(self._taken_over())]
+            return [WriteRow(self._taken_over(event.known_epoch))]
         if event.wants:
             return [ReadRow()]
         self._pending = False
@@ -219,11 +240,13 @@
             self._suspended_until = now + LEASE_S
             self._valid_until = float("-inf")
             self._row_changed_at = None
+            if self._store_down_since is not None:
+                self._store_down_since = now
             self.is_founder = False
         self._ticked_at = now
 
     def _may_take_over(self, event: LeaseTick, now: float) -> bool:
-        if self._row_changed_at is None or self._superseded:
+        if self._row_changed_at is None:
             return False
         if not self.row.holder:
             return True
@@ -235,5 +258,18 @@
             self._vm, self.row.epoch, self.row.renewal + 1, self.row.revision
         )
 
-    def _taken_over(self) -> LeaseRow:
-        return LeaseRow(self._vm, self.row.epoch + 1, 0, self.row.revision)
+    def _taken_over(self, known_epoch: int) -> LeaseRow:
+        epoch = max(self.row.epoch, known_epoch) + 1
+        return LeaseRow(self._vm, epoch, 0, self.row.revision)
+
+    def _may_take_over_storeless(self, event: LeaseTick, now: float) -> bool:
+        if self._store_down_since is None or self.holds(now):
+            return False
+        waited_s = now - self._store_down_since
+        is_candidate = event.wants and event.is_first and event.holder_silent
+        return is_candidate and waited_s >= STORELESS_TAKEOVER_S
+
+    def _take_over_storeless(self, event: LeaseTick, now: float) -> None:
+        self.row = self._taken_over(event.known_epoch)
+        self._superseded = False
+        self._suspended_until = now
--- a/packages/guavabarrow-core/src/guavabarrow_core/permits.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/permits.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 PERMIT_TTL_S = 3.0
+REGISTRATION_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +46,10 @@
     budget : int
         Connections that the target accepts.
     opened_at : float
-        Monotonic time of creation. For ``PERMIT_TTL_S`` only permits that VMs
-        already hold are confirmed, since the predecessor may have granted all.
+        Monotonic time of creation. For ``REGISTRATION_S`` only permits that VMs
+        already hold are confirmed, since the predecessor may have granted all. A VM
+        that is paused meanwhile may come back with more than is left; the database
+        then refuses its next connection.
 
     Examples
     --------
@@ -85,12 +88,12 @@
         self._expire(now)
         known = self.holding_by_vm.pop(vm, None)
         confirmed = held
-        if known is not None and now >= self.opened_at + PERMIT_TTL_S:
+        if known is not None and now >= self.opened_at + REGISTRATION_S:
             confirmed = min(held, known.total)
-        elif known is None and now >= self.opened_at + PERMIT_TTL_S:
+        elif known is None and now >= self.opened_at + REGISTRATION_S:
             confirmed = min(held, self.free)
         total = confirmed
-        if wanted > confirmed and now >= self.opened_at + PERMIT_TTL_S:
+        if wanted > confirmed and now >= self.opened_at + REGISTRATION_S:
             total += max(0, min(wanted - confirmed, self.free - confirmed))
         holding = Holding(total, wanted, now + PERMIT_TTL_S)
         self.holding_by_vm[vm] = holding
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
@@ -12,7 +12,15 @@
 from guavabarrow_core.allowance import GRANT_TTL_S, DomainBucket, TokenCache
 from guavabarrow_core.exceptions import Overloaded, RateExceeded
 from guavabarrow_core.fleet import OPEN_TEAM, TeamLimits
-from guavabarrow_core.lease import Lease, LeaseTick, RowRead, StoreFailed, WriteRow
+from guavabarrow_core.lease import (
+    Claim,
+    Lease,
+    LeaseTick,
+    RowRead,
+    StoreFailed,
+    WriteRow,
+)
+from guavabarrow_core.rendezvous import ranked
 from guavabarrow_daemon.configuration_service import ConfigurationService
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.lease_store import LeaseStore
@@ -31,6 +39,7 @@
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Fleet
     from guavabarrow_core.lease import LeaseAction
+    from guavabarrow_core.membership import Heartbeat
     from guavabarrow_daemon.platform.interface import TableService
     from guavabarrow_daemon.settings import Settings
 
@@ -192,7 +201,7 @@
         wanted = desk.cache.wanted(waiting, now)
         if wanted <= 0:
             return
-        holder = self._membership.ledger_holder(self._settings.domain)
+        holder = self._find_ledger(team)
         if holder is None:
             return
         self._ask_id += 1
@@ -206,6 +215,15 @@
         else:
             self._peers.send(holder.peer_address, message)
 
+    def _find_ledger(self, team: str) -> Heartbeat | None:
+        """Return the holder to ask: of the own domain, else of another one."""
+        own = self._membership.ledger_holder(self._settings.domain)
+        if own is not None:
+            return own
+        others = {beat.vm: beat for beat in self._lenders()}
+        names = ranked(f"{team}/{self._settings.vm}", others)
+        return others[names[0]] if names else None
+
     def _on_grant(self, grant: GrantTokens) -> None:
         desk = self._desk_by_team.get(grant.team)
         if desk is None or not desk.asking or grant.ask_id != desk.ask_id:
@@ -291,7 +309,7 @@
         self._reactor.callLater(LOAN_TIMEOUT_S, self._end_round, round_id)
         return True
 
-    def _lenders(self) -> list[Any]:
+    def _lenders(self) -> list[Heartbeat]:
         domains = {beat.domain for beat in self._membership.table.alive()} - {
             self._settings.domain
         }
@@ -372,18 +390,24 @@
                 self._ask(team, desk)
 
     def _lease_tick(self) -> LeaseTick:
-        domain = self._settings.domain
-        holder = self._lease.row.holder
-        heard = [
-            beat
-            for beat in self._membership.table.by_vm.values()
-            if beat.domain == domain
+        table = self._membership.table
+        rank = self._membership.rank("ledger", self._settings.domain)
+        claim = self._membership.ledger_holder(self._settings.domain)
+        epochs = [
+            beat.ledger_epoch
+            for beat in table.by_vm.values()
+            if beat.domain == self._settings.domain
         ]
-        rank = self._membership.rank("ledger", domain)
+        rival = None
+        if claim is not None and claim.vm != self._settings.vm:
+            rival = Claim(claim.ledger_epoch, claim.vm)
+        is_silent = table.silent_s(self._lease.row.holder) > HOLDER_SILENT_S
         return LeaseTick(
             wants=rank < STANDBYS and not self._is_leaving,
-            holder_silent=self._membership.table.silent_s(holder) > HOLDER_SILENT_S,
-            known_epoch=max((beat.ledger_epoch for beat in heard), default=0),
+            is_first=rank == 0,
+            holder_silent=claim is None and is_silent,
+            known_epoch=max(epochs, default=0),
+            rival=rival,
         )
 
     def _notice_role(self) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
@@ -7,7 +7,12 @@
 
 from twisted.internet.task import LoopingCall
 
-from guavabarrow_core.permits import PERMIT_TTL_S, PermitBook, PermitGrant
+from guavabarrow_core.permits import (
+    PERMIT_TTL_S,
+    REGISTRATION_S,
+    PermitBook,
+    PermitGrant,
+)
 from guavabarrow_daemon.configuration_service import ConfigurationService
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.ledger_service import LedgerService
@@ -196,7 +201,7 @@
         elif self._holder_since is None:
             self._holder_since = now
             if self._ledger.is_founder:
-                self._holder_since -= PERMIT_TTL_S
+                self._holder_since -= REGISTRATION_S
 
     def _book(self, target: str) -> PermitBook | None:
         book = self._book_by_target.get(target)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,510 @@
+"""Proofs of the fleet on real processes."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+
+import pytest
+from harness.caller import SERVICE, Caller
+from harness.process_fleet import post, request, wait_until
+from harness.world import DOMAINS, KILIMA, MTO
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from guavabarrow_cli.admin_client import AdminRequestFailed
+from guavabarrow_cli.embedded_fleet import LayoutTeam
+from guavabarrow_core.fleet import DomainState, TargetState, Template, hash_key
+from guavabarrow_core.fleet_change import (
+    GiveKey,
+    PutTemplate,
+    SetDomainState,
+    SetTargetState,
+    WithdrawKey,
+)
+from guavabarrow_core.history import check_rate
+
+scenarios("features/fleet.feature")
+
+IN_FORCE_S = 4.0
+OUT = DOMAINS[0]
+
+
+@given(parsers.re(r"a fleet of (?P<count>\d) VMs$"))
+def _(world, count):
+    domains = DOMAINS * (int(count) // 3)
+    world.start(vm_domains=domains, drain={"notice_ms": 500, "limit_ms": 10000})
+
+
+@given(
+    parsers.parse(
+        "a fleet of {count:d} VMs with a team of rate {rate:d} and burst {burst:d}"
+    )
+)
+def _(world, count, rate, burst):
+    team = LayoutTeam("pwani", (SERVICE,), rate_per_s=rate, burst=burst)
+    world.facts["team"] = team
+    world.start(vm_domains=DOMAINS * (count // 3), teams=(KILIMA, MTO, team))
+
+
+@given("a crowd at all VMs")
+@given("a crowd at all VMs that follows refusals to other VMs")
+def _(world):
+    world.start_crowd()
+    world.wait_acknowledged(20)
+
+
+@given("a crowd at the VMs of the other domains")
+def _(world):
+    fleet = world.fleet
+    ports = [
+        fleet.port_by_name[vm] for vm in fleet.vms if fleet.domain_by_node[vm] != OUT
+    ]
+    world.start_crowd(ports=ports)
+    world.wait_acknowledged(20)
+
+
+# Keys -----------------------------------------------------------------------
+
+
+@when(
+    "a caller is connected with an open transaction and its key is withdrawn "
+    "at another VM"
+)
+def _(world):
+    second = "key-second-0123456789"
+    admin = world.fleet.admin("vm-2")
+    admin.change([GiveKey("kilima", "second", hash_key(second))], author="test")
+    caller = world.caller()
+    transaction = caller.begin()
+    assert caller.execute(transaction, "INSERT INTO entry VALUES ('cut')").ok
+    report = admin.change([WithdrawKey("kilima", "first")], author="test")
+    world.facts.update(
+        caller=caller, transaction=transaction, second=second, report=report
+    )
+
+
+@then("within 4 s every VM refuses the key and the transaction left no row")
+def _(world):
+    report = world.facts["report"]
+    assert report.missing == []
+    assert report.seconds <= IN_FORCE_S
+    caller = world.facts["caller"]
+    answer = caller.execute(world.facts["transaction"], "SELECT 1")
+    assert (answer.status, answer.body["ran"]) == (401, "not_run")
+    for position in range(len(world.ports)):
+        caller.move(position)
+        assert caller.read("SELECT 1").status == 401
+
+
+@then("the other key of the team still works")
+def _(world):
+    caller = Caller(world.ports, world.facts["second"])
+    assert wait_until(
+        lambda: caller.read("SELECT row FROM entry").body.get("rows") == [],
+        "the transaction is rolled back",
+    )
+    assert caller.write("INSERT INTO entry VALUES ('second')").ok
+
+
+# Configuration --------------------------------------------------------------
+
+
+def _template(name: str) -> PutTemplate:
+    return PutTemplate(Template(name, rate_per_s=7.0))
+
+
+@when("the answer of the store is lost while a change is made")
+def _(world):
+    world.facts["before"] = world.fleet.status("vm-1").version
+    world.fleet.set_platform_faults(lost_answers=2)
+    world.facts["report"] = world.fleet.admin("vm-1").change(
+        [_template("new")], author="test", operation_id="lost"
+    )
+
+
+@then("the change is accepted once and in force at every VM")
+def _(world):
+    report = world.facts["report"]
+    assert report.version == world.facts["before"] + 1
+    assert report.missing == []
+    again = world.fleet.admin("vm-2").change(
+        [_template("new")], author="test", operation_id="lost"
+    )
+    assert again.version == report.version
+    for vm in world.fleet.vms:
+        fleet = world.fleet.admin(vm).fleet()
+        assert fleet.version == report.version
+        assert fleet.templates["new"].rate_per_s == 7.0
+
+
+@when("two operators change the same version at different VMs")
+def _(world):
+    base = world.fleet.status("vm-1").version
+    outcomes = {}
+
+    def change(vm, name):
+        try:
+            outcomes[name] = world.fleet.admin(vm).change(
+                [_template(name)], author=name, base_version=base
+            )
+        except AdminRequestFailed as error:
+            outcomes[name] = error
+
+    threads = [
+        threading.Thread(target=change, args=arguments)
+        for arguments in (("vm-1", "amina"), ("vm-2", "baraka"))
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    world.facts.update(outcomes=outcomes, base=base)
+
+
+@then("one change is accepted, the other gets a conflict and can be repeated")
+def _(world):
+    outcomes = world.facts["outcomes"]
+    refused = {n: o for n, o in outcomes.items() if isinstance(o, AdminRequestFailed)}
+    assert [error.code for error in refused.values()] == ["conflict"]
+    (loser,) = refused
+    world.fleet.admin("vm-3").change(
+        [_template(loser)], author=loser, base_version=world.facts["base"] + 1
+    )
+    for vm in world.fleet.vms:
+        fleet = world.fleet.admin(vm).fleet()
+        assert fleet.version == world.facts["base"] + 2
+        assert {"amina", "baraka"} <= set(fleet.templates)
+
+
+@when("the store goes down and vm-1 is killed and started again")
+def _(world):
+    world.fleet.admin("vm-2").change([_template("new")], author="test")
+    world.fleet.set_platform_faults(down=True)
+    world.fleet.kill("vm-1")
+    world.fleet.restart("vm-1")
+
+
+@then("vm-1 serves with the version of its peers")
+def _(world):
+    version = world.fleet.status("vm-2").version
+    wait_until(
+        lambda: world.fleet.status("vm-1").version == version, "vm-1 has the version"
+    )
+    caller = Caller([world.fleet.port_by_name["vm-1"]], KILIMA.key)
+    wait_until(lambda: caller.read("SELECT 1").ok, "vm-1 serves")
+
+
+@when("the store goes down and an operator makes a change")
+def _(world):
+    world.facts["before"] = world.fleet.status("vm-1").version
+    world.fleet.set_platform_faults(down=True)
+    with pytest.raises(AdminRequestFailed) as refusal:
+        world.fleet.admin("vm-1").change(
+            [_template("new")], author="test", operation_id="later"
+        )
+    world.facts["refusal"] = refusal.value
+
+
+@then("the change is refused, the version stays and a repeat is accepted later")
+def _(world):
+    assert world.facts["refusal"].code == "not_accepted"
+    versions = {world.fleet.status(vm).version for vm in world.fleet.vms}
+    assert versions == {world.facts["before"]}
+    world.fleet.set_platform_faults(down=False)
+    report = world.fleet.admin("vm-1").change(
+        [_template("new")], author="test", operation_id="later"
+    )
+    assert report.version == world.facts["before"] + 1
+    assert report.missing == []
+
+
+# Rates ----------------------------------------------------------------------
+
+
+def _send(world, *, rate, duration_s, ports, during=None):
+    """Send at a rate from one thread for each VM; record what was admitted."""
+    team = world.facts["team"]
+    admitted, refused = [], []
+    end_at = time.monotonic() + duration_s
+
+    def run(port):
+        caller = Caller([port], team.key, deadline_s=2.0)
+        interval_s = len(ports) / rate
+        due_at = time.monotonic()
+        while due_at < end_at:
+            time.sleep(max(0.0, due_at - time.monotonic()))
+            due_at += interval_s
+            sent_at = time.monotonic()
+            answer = caller.read("SELECT 1")
+            if answer.ok:
+                admitted.append((sent_at, time.monotonic()))
+            elif answer.status:
+                refused.append(answer)
+
+    threads = [threading.Thread(target=run, args=(port,)) for port in ports]
+    for thread in threads:
+        thread.start()
+    if during is not None:
+        during()
+    for thread in threads:
+        thread.join()
+    world.facts.update(admitted=admitted, refused=refused, duration_s=duration_s)
+
+
+@when(parsers.parse("the team sends 5 times its rate at all VMs for {duration:d} s"))
+def _(world, duration):
+    rate = world.facts["team"].rate_per_s * 5
+    _send(world, rate=rate, duration_s=float(duration), ports=world.ports)
+
+
+@when("the team sends 5 times its rate and the ledger holder of a domain is killed")
+def _(world):
+    def kill_holder():
+        time.sleep(1.0)
+        world.fleet.kill(world.fleet.holder(DOMAINS[0]))
+
+    rate = world.facts["team"].rate_per_s * 5
+    _send(world, rate=rate, duration_s=7.0, ports=world.ports, during=kill_holder)
+
+
+@when(
+    "the team sends 5 times its rate and the ledger holder of a domain is frozen "
+    "and resumes"
+)
+def _(world):
+    def freeze_holder():
+        time.sleep(1.0)
+        holder = world.fleet.holder(DOMAINS[0])
+        world.fleet.freeze(holder)
+        other = next(vm for vm in world.fleet.vms if vm != holder)
+        wait_until(
+            lambda: world.fleet.holder(DOMAINS[0], other) != holder,
+            "another VM holds the ledger",
+        )
+        time.sleep(1.5)
+        world.fleet.resume(holder)
+
+    rate = world.facts["team"].rate_per_s * 5
+    _send(world, rate=rate, duration_s=9.0, ports=world.ports, during=freeze_holder)
+
+
+@when("the store is down for 4 s while the team sends 5 times its rate")
+def _(world):
+    def take_down():
+        time.sleep(0.5)
+        world.fleet.set_platform_faults(down=True)
+        time.sleep(4.0)
+        world.fleet.set_platform_faults(down=False)
+
+    rate = world.facts["team"].rate_per_s * 5
+    _send(world, rate=rate, duration_s=6.0, ports=world.ports, during=take_down)
+
+
+@when("the team sends 80% of its rate at one VM for 4 s")
+def _(world):
+    rate = world.facts["team"].rate_per_s * 0.8
+    _send(world, rate=rate, duration_s=4.0, ports=world.ports[:1])
+
+
+@then("no window holds more than rate and burst allow")
+def _(world):
+    team = world.facts["team"]
+    assert world.facts["refused"]
+    violations = check_rate(
+        world.facts["admitted"], rate_per_s=team.rate_per_s, burst=team.burst
+    )
+    assert violations == []
+
+
+@then(parsers.parse("at least {share:d}% of the rate was used"))
+def _(world, share):
+    allowed = world.facts["team"].rate_per_s * world.facts["duration_s"]
+    assert len(world.facts["admitted"]) >= allowed * share / 100
+
+
+@then("nothing was refused")
+def _(world):
+    assert world.facts["refused"] == []
+
+
+# Drain ----------------------------------------------------------------------
+
+
+@when("the domain is taken out and 4 s pass")
+def _(world):
+    state = DomainState.OUT_OF_SERVICE
+    report = world.fleet.admin("vm-2").change(
+        [SetDomainState(OUT, state)], author="test"
+    )
+    assert report.missing == []
+    time.sleep(IN_FORCE_S)
+
+
+def _domain_vms(world):
+    return [vm for vm in world.fleet.vms if world.fleet.domain_by_node[vm] == OUT]
+
+
+@then("its VMs are not ready and refuse new work as not run")
+def _(world):
+    for vm in _domain_vms(world):
+        port = world.fleet.port_by_name[vm]
+        assert request(port, "GET", "/readyz")[0] == 503
+        answer = Caller([port], KILIMA.key).write("INSERT INTO entry VALUES ('no')")
+        assert (answer.body["code"], answer.body["ran"]) == ("draining", "not_run")
+
+
+def _statements(world, databases):
+    total = 0
+    for database in databases:
+        recorded = post(world.fleet.port_by_name[database], "/recorded", {})
+        total += sum("/execute" in text[:10] for text in recorded["requests"])
+    return total
+
+
+@then("its databases get no statement while 20 more writes are acknowledged")
+def _(world):
+    databases = [
+        name
+        for name in world.fleet.databases
+        if world.fleet.domain_by_node[name] == OUT
+    ]
+    before = _statements(world, databases)
+    assert before > 0
+    world.wait_acknowledged(20)
+    assert _statements(world, databases) == before
+
+
+@then("no caller of the other domains was refused")
+@then("no caller was refused")
+def _(world):
+    crowd = world.end_crowd()
+    assert crowd.failures == []
+    assert crowd.history.check(world.rows()) == []
+
+
+@when("the domain is brought back")
+def _(world):
+    state = DomainState.IN_SERVICE
+    world.fleet.admin("vm-2").change([SetDomainState(OUT, state)], author="test")
+
+
+@then("its VMs serve again")
+def _(world):
+    for vm in _domain_vms(world):
+        port = world.fleet.port_by_name[vm]
+        wait_until(lambda port=port: request(port, "GET", "/readyz")[0] == 200, vm)
+        assert Caller([port], KILIMA.key).write("INSERT INTO entry VALUES ('y')").ok
+
+
+@when("the primary is marked as leaving and 4 s pass")
+def _(world):
+    primary = world.fleet.primary(SERVICE)
+    world.facts["leaving"] = primary
+    change = SetTargetState(SERVICE, primary, TargetState.LEAVING)
+    assert world.fleet.admin("vm-2").change([change], author="test").missing == []
+    time.sleep(IN_FORCE_S)
+
+
+@then("it gets no statement while 20 more writes are acknowledged")
+def _(world):
+    databases = [world.facts["leaving"]]
+    before = _statements(world, databases)
+    assert before > 0
+    world.wait_acknowledged(20)
+    assert _statements(world, databases) == before
+
+
+@when("vm-1 gets SIGTERM")
+def _(world):
+    world.facts["status"] = world.fleet.terminate("vm-1")
+
+
+@then("it ends with status 0 and no request was cut")
+def _(world):
+    assert world.facts["status"] == 0
+    crowd = world.end_crowd()
+    cut = [w for w in crowd.history.writes if w.ran.value == "outcome_unknown"]
+    assert cut == []
+    assert {answer.body["code"] for answer in crowd.failures} <= {"draining"}
+    assert crowd.history.check(world.rows()) == []
+
+
+# Partitions -----------------------------------------------------------------
+
+
+@when("a domain without a primary is cut off from the others and the platform")
+def _(world):
+    primary = world.fleet.primary(SERVICE)
+    domain = next(d for d in DOMAINS if d != world.fleet.domain_by_node[primary])
+    nodes = [n for n, d in world.fleet.domain_by_node.items() if d == domain]
+    world.facts.update(domain=domain, nodes=nodes)
+    assert world.caller().write("INSERT INTO entry VALUES ('before')").ok
+    world.fleet.cut_off(*nodes)
+
+
+def _inside(world):
+    return [
+        Caller([world.fleet.port_by_name[n]], KILIMA.key, deadline_s=3.0)
+        for n in world.facts["nodes"]
+        if n.startswith("vm-")
+    ]
+
+
+@when("the ledger holder of the cut-off domain is killed")
+def _(world):
+    inside = next(n for n in world.facts["nodes"] if n.startswith("vm-"))
+    holder = world.fleet.holder(world.facts["domain"], inside)
+    world.facts["nodes"].remove(holder)
+    world.fleet.kill(holder)
+    survivor = next(n for n in world.facts["nodes"] if n.startswith("vm-"))
+    wait_until(
+        lambda: world.fleet.status(survivor).is_ledger_holder,
+        f"{survivor} holds the ledger",
+    )
+
+
+@then(
+    parsers.parse(
+        "its VMs still serve reads of a stated age of {age:d} s from its database"
+    )
+)
+def _(world, age):
+    for caller in _inside(world):
+        answer = caller.read("SELECT row FROM entry", max_age_ms=age * 1000)
+        assert answer.ok, answer
+        assert answer.body["source"] == "replica"
+
+
+@then("its VMs refuse writes as not run")
+def _(world):
+    for caller in _inside(world):
+        answer = caller.write("INSERT INTO entry VALUES ('inside')")
+        assert answer.body["ran"] == "not_run", answer
+
+
+@then("the other domains acknowledge writes")
+def _(world):
+    outside = [vm for vm in world.fleet.vms if vm not in world.facts["nodes"]]
+    for vm in outside:
+        caller = Caller([world.fleet.port_by_name[vm]], KILIMA.key)
+        assert caller.write("INSERT INTO entry VALUES (?)", vm).ok
+    world.fleet.cut_off(*world.facts["nodes"], cut=False)
+    assert sorted(world.rows()) == sorted(["before", *outside])
+
+
+@when("vm-1 is frozen for 4 s and resumes")
+def _(world):
+    world.fleet.freeze("vm-1")
+    time.sleep(4.0)
+    world.fleet.resume("vm-1")
+    wait_until(lambda: world.fleet.status("vm-1"), "vm-1 answers")
+    time.sleep(1.0)
+
+
+@then("vm-1 never judged another VM dead")
+def _(world):
+    log = (world.directory / "vm-1.log").read_text()
+    events = [json.loads(line) for line in log.splitlines() if line.startswith("{")]
+    lost = [event for event in events if event["event"] == "member_lost"]
+    assert lost == []
