--- a/packages/guavabarrow-cli/src/guavabarrow_cli/caller_client.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/caller_client.py
@@ -4,7 +4,7 @@
 
 import time
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from twisted.internet.defer import CancelledError, TimeoutError
@@ -17,6 +17,9 @@
     open_connection,
 )
 
+if TYPE_CHECKING:
+    from guavabarrow_cli.balancer import Balancer
+
 CLIENT_MARGIN_S = 1.0
 
 
@@ -86,6 +89,13 @@
         """Move to the next VM."""
         self.address_index = (self.address_index + 1) % len(self._addresses)
 
+    def avoid(self, balancer: Balancer) -> None:
+        """Move on while the current VM is not ready."""
+        for _ in self._addresses:
+            if balancer.is_ready(self._addresses[self.address_index]):
+                return
+            self.roam()
+
     async def read(
         self,
         service: str,
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/embedded_fleet.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/embedded_fleet.py
@@ -256,6 +256,13 @@
         self.database_by_name[name] = server
         return server
 
+    def restart_database(self, name: str) -> None:
+        """Start a database again that was stopped; its file is still there."""
+        for service in self.layout.services:
+            for number in range(len(service.domains)):
+                if database_name(service, number) == name:
+                    self.start_database(service, number)
+
     async def stop_database(self, name: str) -> None:
         """Stop one database as the end of its process would."""
         await self.database_by_name.pop(name).stop()
--- /dev/null
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/layouts.py
@@ -0,0 +1,87 @@
+"""Layouts of the two first users, for experiments."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from guavabarrow_cli.embedded_fleet import Layout, LayoutService, LayoutTeam
+
+ASSOCIATION_DOMAINS = ("dar-kariakoo", "dar-ubungo", "dar-temeke")
+AUTHORITY_DOMAINS = ("tanta-hall", "mahalla-depot", "kafr-station")
+VMS_PER_DOMAIN = 3
+LARGE_RATE_PER_S = 60.0
+SMALL_RATE_PER_S = 10.0
+
+
+def create_layout(name: str, *, lag_ms: float, statement_ms: float) -> Layout:
+    """Return a user's layout.
+
+    Parameters
+    ----------
+    name : str
+        ``association`` or ``authority``.
+    lag_ms : float
+        Replication lag.
+    statement_ms : float
+        Time that a statement occupies a slot.
+
+    Returns
+    -------
+    Layout
+        Nine VMs in three failure domains, three services, eight teams.
+    """
+    layout = _association() if name == "association" else _authority()
+    return replace(layout, lag_ms=lag_ms, statement_ms=statement_ms)
+
+
+def _association() -> Layout:
+    services = tuple(f"orders-db-{number}" for number in (1, 2, 3))
+    return Layout(
+        vm_domains=ASSOCIATION_DOMAINS * VMS_PER_DOMAIN,
+        services=tuple(
+            LayoutService(name, ASSOCIATION_DOMAINS, connections=20, slots=3)
+            for name in services
+        ),
+        teams=_teams(
+            ("mlima-sellers", "bandari-sellers"),
+            ("kilima", "mto", "pwani", "shamba", "soko", "barabara"),
+            services,
+        ),
+    )
+
+
+def _authority() -> Layout:
+    services = tuple(f"customer-core-{number}" for number in (1, 2, 3))
+    return Layout(
+        vm_domains=AUTHORITY_DOMAINS * VMS_PER_DOMAIN,
+        services=tuple(
+            LayoutService(name, AUTHORITY_DOMAINS, connections=30, slots=2)
+            for name in services
+        ),
+        teams=_teams(
+            ("customer-hall", "kiosks"),
+            (
+                "field-water",
+                "field-power",
+                "bakeries",
+                "tanta-town",
+                "mahalla-town",
+                "kafr-town",
+            ),
+            services,
+        ),
+    )
+
+
+def _teams(
+    large: tuple[str, ...], small: tuple[str, ...], services: tuple[str, ...]
+) -> tuple[LayoutTeam, ...]:
+    teams = [
+        LayoutTeam(name, services, LARGE_RATE_PER_S, LARGE_RATE_PER_S, weight=4.0)
+        for name in large
+    ]
+    teams += [
+        LayoutTeam(name, services, SMALL_RATE_PER_S, 2 * SMALL_RATE_PER_S)
+        for name in small
+    ]
+    return tuple(teams)
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/load_plan.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/load_plan.py
@@ -11,6 +11,14 @@
 Share = Annotated[float, Field(ge=0, le=1)]
 
 
+class Surge(SettingsModel):
+    """A time in which arrivals come at a multiple of the rate."""
+
+    factor: Annotated[float, Field(gt=0)]
+    at_s: Annotated[float, Field(ge=0)] = 0.0
+    for_s: Annotated[float, Field(ge=0)] = 10.0
+
+
 class TeamLoad(SettingsModel):
     """Load of one team.
 
@@ -36,6 +44,8 @@
         Share of writes that are sent a second time with the same request id.
     transactions : float
         Share of writes that are interactive transactions.
+    surge : Surge or None
+        Time with more arrivals.
     """
 
     team: str
@@ -49,6 +59,14 @@
     roaming: Share = 0.2
     repeats: Share = 0.0
     transactions: Share = 0.0
+    surge: Surge | None = None
+
+    def rate_at(self, elapsed_s: float) -> float:
+        """Return the arrivals per second at a time of the load."""
+        surge = self.surge
+        if surge is None or not surge.at_s <= elapsed_s < surge.at_s + surge.for_s:
+            return self.rate_per_s
+        return self.rate_per_s * surge.factor
 
 
 class LoadPlan(SettingsModel):
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/load_result.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/load_result.py
@@ -32,7 +32,8 @@
     count_by_source: dict[str, int] = field(default_factory=dict)
     latency: HdrHistogram = field(default_factory=create_histogram)
     admitted: list[tuple[float, float]] = field(default_factory=list)
-    answered_writes: list[float] = field(default_factory=list)
+    answered_writes: list[tuple[float, str]] = field(default_factory=list)
+    timeline: list[tuple[float, str]] = field(default_factory=list)
 
     @property
     def served(self) -> int:
@@ -44,8 +45,10 @@
         """Share of requests with a result."""
         return self.served / self.sent if self.sent else 1.0
 
-    def record(self, code: str, latency_s: float) -> None:
-        """Count one answer."""
+    def record(self, code: str, *, due_at: float, answered_at: float) -> None:
+        """Count one answer to an arrival that was due at ``due_at``."""
+        self.timeline.append((due_at, code))
+        latency_s = answered_at - due_at
         self.count_by_code[code] = self.count_by_code.get(code, 0) + 1
         latency_us = int(latency_s * 1e6)
         self.latency.record_value(min(HIGHEST_US, max(LOWEST_US, latency_us)))
@@ -70,6 +73,7 @@
 class LoadResult:
     """Result of a whole load."""
 
+    started_at: float
     duration_s: float
     by_team: dict[str, TeamResult]
 
@@ -88,19 +92,6 @@
         reads = replica + primary
         return replica / reads if reads else 0.0
 
-    def longest_write_gap(self, since: float, until: float) -> float:
-        """Return the longest time without an acknowledged write, seconds."""
-        times = sorted(
-            time
-            for result in self.by_team.values()
-            for time in result.answered_writes
-            if since <= time <= until
-        )
-        marks = [since, *times, until]
-        return max(
-            later - earlier for earlier, later in zip(marks, marks[1:], strict=False)
-        )
-
     def to_document(self) -> dict[str, Any]:
         """Return the result as a JSON document."""
         sent = sum(result.sent for result in self.by_team.values())
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/load_runner.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/load_runner.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.task import deferLater
 
+from guavabarrow_cli.balancer import Balancer
 from guavabarrow_cli.caller_client import CallerSession, CallResult
 from guavabarrow_cli.load_result import LoadResult, TeamResult
 from guavabarrow_core.request_id import create_request_id
@@ -41,7 +42,9 @@
         *,
         reactor: Any,
         random: Random,
+        balancer: Balancer,
     ) -> None:
+        self._balancer = balancer
         self.name = name
         self.idle: Deferred[None] | None = None
         self._load = load
@@ -80,6 +83,7 @@
     async def _request(self, due_at: float) -> None:
         if self._random.random() < self._load.roaming:
             self._session.roam()
+        self._session.avoid(self._balancer)
         service = self._random.choice(self._load.services)
         sent_at = self._reactor.seconds()
         if self._random.random() < self._load.reads:
@@ -89,7 +93,7 @@
         else:
             result = await self._write(service)
         now = self._reactor.seconds()
-        self._result.record(result.code, now - due_at)
+        self._result.record(result.code, due_at=due_at, answered_at=now)
         if result.code not in ("rate_exceeded", "connection_broken"):
             self._result.admitted.append((sent_at, now))
 
@@ -111,7 +115,7 @@
             service, WRITE_SQL, [self.name], request_id=request_id
         )
         if result.is_ok:
-            self._result.answered_writes.append(self._reactor.seconds())
+            self._result.answered_writes.append((self._reactor.seconds(), service))
         if self._random.random() < self._load.repeats:
             await self._session.write(
                 service, WRITE_SQL, [self.name], request_id=request_id
@@ -129,7 +133,7 @@
             return result
         result = await self._session.post(f"{path}/commit", {})
         if result.is_ok:
-            self._result.answered_writes.append(self._reactor.seconds())
+            self._result.answered_writes.append((self._reactor.seconds(), service))
         return result
 
 
@@ -158,19 +162,25 @@
         self._on_progress = on_progress or (lambda share: None)
         self._random = Random(plan.seed)
         self._sessions: list[LoadSession] = []
+        self._balancer = Balancer(reactor, _parse_addresses(plan.addresses))
+        self.started: Deferred[None] = Deferred()
 
     async def run(self) -> LoadResult:
         """Run the plan to its end and wait for the last answers."""
         await self._create_tables()
         results = {load.team: TeamResult(load.team) for load in self._plan.teams}
+        self._balancer.start()
         started_at = self._reactor.seconds()
+        self.started.callback(None)
         arrivals = [
             Deferred.fromCoroutine(self._arrive(load, results[load.team], started_at))
             for load in self._plan.teams
         ]
         await DeferredList(arrivals, fireOnOneErrback=True)
         await self._finish()
-        return LoadResult(self._reactor.seconds() - started_at, results)
+        self._balancer.stop()
+        duration_s = self._reactor.seconds() - started_at
+        return LoadResult(started_at, duration_s, results)
 
     async def _create_tables(self) -> None:
         for load in self._plan.teams:
@@ -191,6 +201,7 @@
                 result,
                 reactor=self._reactor,
                 random=random,
+                balancer=self._balancer,
             )
             for number in range(load.sessions)
         ]
@@ -204,7 +215,7 @@
                 await deferLater(self._reactor, max(TICK_S, due_at - now), lambda: None)
                 continue
             min(sessions, key=lambda session: session.backlog).arrive(due_at)
-            due_at += random.expovariate(load.rate_per_s)
+            due_at += random.expovariate(load.rate_at(due_at - started_at))
 
     async def _finish(self) -> None:
         for session in self._sessions:
@@ -214,10 +225,7 @@
             session.close()
 
     def _session(self, load: TeamLoad) -> CallerSession:
-        addresses = []
-        for address in self._plan.addresses:
-            host, _, port = address.rpartition(":")
-            addresses.append((host, int(port)))
+        addresses = _parse_addresses(self._plan.addresses)
         self._random.shuffle(addresses)
         return CallerSession(
             self._reactor,
@@ -225,3 +233,11 @@
             key=load.key,
             deadline_s=self._plan.deadline_ms / 1000,
         )
+
+
+def _parse_addresses(texts: list[str]) -> list[tuple[str, int]]:
+    addresses = []
+    for text in texts:
+        host, _, port = text.rpartition(":")
+        addresses.append((host, int(port)))
+    return addresses
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
@@ -5,6 +5,7 @@
 import fire
 
 from guavabarrow_cli.commands.demo_command import demo
+from guavabarrow_cli.commands.experiment_command import experiment
 from guavabarrow_cli.commands.fleet_commands import (
     DomainCommand,
     FleetCommand,
@@ -14,15 +15,18 @@
     TemplateCommand,
 )
 from guavabarrow_cli.commands.load_command import load
+from guavabarrow_cli.commands.report_command import ReportCommand
 from guavabarrow_cli.commands.standin_commands import StandinCommand
 from guavabarrow_cli.commands.vm_commands import StatusCommand, VmCommand
 
 COMMANDS = {
     "demo": demo,
     "domain": DomainCommand,
+    "experiment": experiment,
     "fleet": FleetCommand,
     "key": KeyCommand,
     "load": load,
+    "report": ReportCommand,
     "standin": StandinCommand,
     "status": StatusCommand,
     "target": TargetCommand,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
@@ -171,6 +171,9 @@
             If no ledger could be asked.
         """
         now = self._reactor.seconds()
+        if self._settings.policies.rates == "static":
+            self._admit_static(team, cost, now)
+            return
         desk = self._desk_by_team.setdefault(team, TeamDesk())
         if not desk.waiters and desk.cache.spend(cost, now):
             return
@@ -181,6 +184,24 @@
         self._ask(team, desk)
         await waiter.turn
 
+    def _admit_static(self, team: str, cost: float, now: float) -> None:
+        """Admit within an equal share for each live VM, as a baseline."""
+        fleet = self._configuration.fleet
+        limits = OPEN_LIMITS if team == OPEN_TEAM else fleet.limits_of(team)
+        share = 1.0 / len(self._membership.table.alive())
+        rate_per_s, burst = limits.rate_per_s * share, limits.burst * share
+        bucket = self._bucket_by_team.get(team)
+        if bucket is None:
+            bucket = DomainBucket(rate_per_s, burst, now, burst)
+            self._bucket_by_team[team] = bucket
+        bucket.set_limits(rate_per_s=rate_per_s, burst=burst, now=now)
+        if bucket.level < cost:
+            raise RateExceeded(
+                "The team is above this VM's share of its rate.",
+                retry_after_s=(cost - bucket.level) / rate_per_s,
+            )
+        bucket.level -= cost
+
     def receive(self, reply_to: str, message: object) -> None:
         """Handle asks as the holder and answers as a borrower."""
         match message:
--- a/tests/harness/process_fleet.py
+++ b/tests/harness/process_fleet.py
@@ -80,6 +80,7 @@
     directory: Path
     open_routes: tuple[OpenRoute, ...] = ()
     vm_extra: dict[str, Any] = field(default_factory=dict)
+    has_vm_relays: bool = True
     process_by_name: dict[str, subprocess.Popen] = field(default_factory=dict)
     port_by_name: dict[str, int] = field(default_factory=dict)
     admin_port_by_vm: dict[str, int] = field(default_factory=dict)
@@ -313,7 +314,7 @@
                 for peer in names:
                     if peer != name:
                         self._link(allocator, name, peer, self.port_by_name[peer])
-        for vm in self.vms:
+        for vm in self.vms if self.has_vm_relays else ():
             self._link(allocator, vm, "platform", self.port_by_name["platform"])
             for database in self.databases:
                 self._link(allocator, vm, database, self.port_by_name[database])
