--- a/packages/guavabarrow-cli/src/guavabarrow_cli/layouts.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/layouts.py
@@ -8,9 +8,9 @@
 
 ASSOCIATION_DOMAINS = ("dar-kariakoo", "dar-ubungo", "dar-temeke")
 AUTHORITY_DOMAINS = ("tanta-hall", "mahalla-depot", "kafr-station")
-VMS_PER_DOMAIN = 3
-LARGE_RATE_PER_S = 60.0
-SMALL_RATE_PER_S = 10.0
+VMS_PER_DOMAIN = 1
+LARGE_RATE_PER_S = 30.0
+SMALL_RATE_PER_S = 6.0
 
 
 def create_layout(name: str, *, lag_ms: float, statement_ms: float) -> Layout:
@@ -28,7 +28,8 @@
     Returns
     -------
     Layout
-        Nine VMs in three failure domains, three services, eight teams.
+        Three services, eight teams, three failure domains with one VM each: the users'
+        nine VMs and all stand-ins would not fit on the one core of an experiment.
     """
     layout = _association() if name == "association" else _authority()
     return replace(layout, lag_ms=lag_ms, statement_ms=statement_ms)
--- /dev/null
+++ b/packages/guavabarrow-cli/tests/test_burn_report.py
@@ -0,0 +1,41 @@
+from guavabarrow_cli.burn_report import BurnReport
+from guavabarrow_core.exceptions import Ran
+from guavabarrow_daemon.caller_api import RequestRecord
+from guavabarrow_daemon.kernel import Kernel
+from guavabarrow_daemon.metrics import Metrics
+
+
+def scrape(counts):
+    """Return metrics as a VM exposes them."""
+    metrics = Metrics(Kernel())
+    for (team, code), (count, seconds) in counts.items():
+        record = RequestRecord(team, code, Ran.RAN)
+        for _ in range(count):
+            metrics.requests.labels(record.team, record.code, record.ran.value).inc()
+            metrics.latency.labels(record.team, record.code).observe(seconds)
+    return metrics.render().decode()
+
+
+def test_burn_is_counted_over_all_vms_and_ignores_callers_own_mistakes():
+    report = BurnReport((60.0,))
+    report.add(0.0, [scrape({("a", "ok"): (10, 0.01)}), scrape({})])
+    second = {
+        ("a", "ok"): (100, 0.01),
+        ("a", "overloaded"): (10, 0.01),
+        ("a", "rate_exceeded"): (500, 0.01),
+    }
+    report.add(60.0, [scrape(second), scrape({("a", "ok"): (10, 0.01)})])
+    served = next(row for row in report.rows() if row.objective == "served")
+    # 10 bad of 110 answers against an error budget of 0.1%.
+    assert served.burn_by_window["60 s"] == round(10 / 110 / 0.001, 2)
+    assert served.alert == "fast burn: act now"
+    assert "<svg" in report.to_html()
+
+
+def test_slow_answers_burn_the_latency_objective():
+    report = BurnReport((60.0,))
+    report.add(0.0, [scrape({("a", "ok"): (1, 0.01)})])
+    report.add(60.0, [scrape({("a", "ok"): (101, 0.2)})])
+    rows = {row.objective: row for row in report.rows()}
+    assert rows["served"].alert == "none"
+    assert rows["answered within 0.1 s"].alert == "fast burn: act now"
--- a/packages/guavabarrow-core/src/guavabarrow_core/allowance.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/allowance.py
@@ -14,6 +14,8 @@
 PREFETCH_S = 0.1
 DEMAND_SMOOTHING_S = 0.5
 LEND_RESERVE_S = 0.5
+ROUNDING = 1e-9
+RETURN_GRACE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +71,7 @@
 
     @property
     def outstanding(self) -> float:
-        """Tokens that VMs may still spend."""
+        """Tokens that VMs may still spend or give back."""
         return sum(loan.tokens for loan in self.loan_by_vm.values())
 
     def set_limits(self, *, rate_per_s: float, burst: float, now: float) -> None:
@@ -86,6 +88,7 @@
         wanted: float,
         held: float,
         now: float,
+        returned: float = 0.0,
         ttl_s: float = GRANT_TTL_S,
     ) -> Grant:
         """Lend tokens to a VM.
@@ -98,6 +101,8 @@
             Tokens asked for.
         held : float
             Tokens from earlier grants that it still holds.
+        returned : float
+            Tokens from earlier grants that it let expire unspent.
         now : float
             Monotonic time of the holder.
         ttl_s : float
@@ -110,15 +115,13 @@
         """
         self.refill(now)
         self._record_demand(wanted, now)
+        known = self.loan_by_vm.pop(vm, Loan(0.0, now))
+        returned = min(returned, known.tokens)
+        held = min(held, known.tokens - returned)
+        self.level += returned
         tokens = min(wanted, self.level)
         self.level -= tokens
-        expires_at = now + ttl_s
-        known = self.loan_by_vm.get(vm)
-        if known is not None:
-            held = min(held, known.tokens)
-            expires_at = max(expires_at, known.expires_at)
-        else:
-            held = 0.0
+        expires_at = max(now + ttl_s, known.expires_at)
         self.loan_by_vm[vm] = Loan(held + tokens, expires_at)
         missing = max(0.0, wanted - tokens)
         retry_after_s = missing / self.rate_per_s if self.rate_per_s > 0 else 1.0
@@ -153,10 +156,9 @@
 
     def refill(self, now: float) -> None:
         """Create the tokens due since the last call, up to the burst share."""
-        for vm in [
-            vm for vm, loan in self.loan_by_vm.items() if loan.expires_at <= now
-        ]:
-            del self.loan_by_vm[vm]
+        for vm, loan in list(self.loan_by_vm.items()):
+            if loan.expires_at + RETURN_GRACE_S <= now:
+                del self.loan_by_vm[vm]
         elapsed_s = max(0.0, now - self.now)
         self.now = max(now, self.now)
         ceiling = max(0.0, self.burst - self.outstanding)
@@ -190,16 +192,22 @@
     expires_at: float = 0.0
     _spent_per_s: float = 0.0
     _spent_at: float = 0.0
+    _returned: float = 0.0
 
     def spend(self, cost: float, now: float) -> bool:
         """Take tokens, False if too few are held."""
         self._record_demand(cost, now)
         self._expire(now)
-        if self.tokens < cost:
+        if self.tokens < cost - ROUNDING:
             return False
-        self.tokens -= cost
+        self.tokens = max(0.0, self.tokens - cost)
         return True
 
+    def take_returned(self) -> float:
+        """Return the tokens that expired unspent since the last call."""
+        returned, self._returned = self._returned, 0.0
+        return returned
+
     def add(self, tokens: float, *, expires_at: float, now: float) -> None:
         """Add granted tokens; the earlier expiry holds for all."""
         self._expire(now)
@@ -217,6 +225,7 @@
 
     def _expire(self, now: float) -> None:
         if now >= self.expires_at:
+            self._returned += self.tokens
             self.tokens = 0.0
 
     def _record_demand(self, cost: float, now: float) -> None:
--- /dev/null
+++ b/packages/guavabarrow-core/tests/test_membership.py
@@ -0,0 +1,92 @@
+from guavabarrow_core.membership import (
+    HEARTBEAT_S,
+    MAX_PULSES,
+    Heartbeat,
+    Membership,
+    MemberState,
+)
+
+
+def heartbeat(vm, incarnation=1):
+    return Heartbeat(vm, "d", f"{vm}:1", f"{vm}:2", incarnation, 0)
+
+
+class Network:
+    """Members that deliver each round's gossip at once."""
+
+    def __init__(self, count):
+        self.now = 0.0
+        self.members = {
+            f"vm-{number}": Membership(heartbeat(f"vm-{number}"), seed=number, now=0.0)
+            for number in range(count)
+        }
+        self.down = set()
+        for member in self.members.values():
+            member.merge([heartbeat("vm-0")])
+
+    def run(self, rounds):
+        largest = 0
+        for _ in range(rounds):
+            self.now += HEARTBEAT_S
+            for vm, member in self.members.items():
+                if vm in self.down:
+                    continue
+                pulses = member.beat(self.now)
+                largest = max(largest, len(pulses))
+                for partner in member.partners():
+                    if partner.vm not in self.down:
+                        self.deliver(member, self.members[partner.vm], pulses)
+        return largest
+
+    def deliver(self, sender, receiver, pulses):
+        needed = receiver.merge_pulses(pulses)
+        receiver.merge(sender.by_vm[vm] for vm in needed)
+        receiver.merge([sender.own])
+
+
+def test_all_members_find_each_other():
+    network = Network(9)
+    network.run(10)
+    for member in network.members.values():
+        assert len(member.alive()) == 9
+
+
+def test_size_of_a_message_is_bounded():
+    network = Network(60)
+    assert network.run(30) == MAX_PULSES + 1
+    assert all(len(member.by_vm) == 60 for member in network.members.values())
+
+
+def test_dead_member_is_noticed_and_its_successor_is_alive():
+    network = Network(5)
+    network.run(10)
+    network.down.add("vm-3")
+    network.run(15)
+    others = [m for vm, m in network.members.items() if vm != "vm-3"]
+    assert all(m.state_of("vm-3") is MemberState.DEAD for m in others)
+    network.members["vm-3"] = Membership(
+        heartbeat("vm-3", incarnation=2), seed=9, now=network.now
+    )
+    network.members["vm-3"].merge([heartbeat("vm-0")])
+    network.down.clear()
+    network.run(10)
+    assert all(m.state_of("vm-3") is MemberState.ALIVE for m in others)
+
+
+def test_member_that_was_paused_excludes_nobody():
+    network = Network(5)
+    network.run(10)
+    network.down.add("vm-2")
+    network.run(60)
+    network.down.clear()
+    network.run(1)
+    paused = network.members["vm-2"]
+    assert paused.paused_at is not None
+    assert len(paused.alive()) == 5
+
+
+def test_older_heartbeat_changes_nothing():
+    member = Membership(heartbeat("a"), seed=1, now=0.0)
+    member.merge([heartbeat("b", incarnation=2)])
+    member.merge([heartbeat("b", incarnation=1)])
+    assert member.by_vm["b"].incarnation == 2
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
@@ -44,7 +44,7 @@
     from guavabarrow_daemon.settings import Settings
 
 TICK_S = 0.1
-ASK_TIMEOUT_S = 0.1
+ASK_TIMEOUT_S = 0.5
 LOAN_TIMEOUT_S = 0.05
 LOAN_RETRY_S = 0.1
 HOLDER_SILENT_S = 1.6
@@ -70,6 +70,7 @@
     waiters: deque[Waiter] = field(default_factory=deque)
     ask_id: int = 0
     asked_at: float = 0.0
+    asked_vm: str = ""
     asking: bool = False
 
 
@@ -216,21 +217,22 @@
 
     def _ask(self, team: str, desk: TeamDesk) -> None:
         now = self._reactor.seconds()
-        if desk.asking and now - desk.asked_at < ASK_TIMEOUT_S:
+        holder = self._find_ledger(team)
+        is_pending = desk.asking and now - desk.asked_at < ASK_TIMEOUT_S
+        if holder is None or (is_pending and desk.asked_vm == holder.vm):
             return
         waiting = sum(waiter.cost for waiter in desk.waiters)
         wanted = desk.cache.wanted(waiting, now)
         if wanted <= 0:
             return
-        holder = self._find_ledger(team)
-        if holder is None:
-            return
         self._ask_id += 1
         desk.ask_id = self._ask_id
         desk.asked_at = now
         desk.asking = True
+        desk.asked_vm = holder.vm
+        returned = desk.cache.take_returned()
         held = desk.cache.tokens
-        message = AskTokens(desk.ask_id, team, wanted, held)
+        message = AskTokens(desk.ask_id, team, wanted, held, returned)
         if holder.vm == self._settings.vm:
             self._on_ask("", message)
         else:
@@ -303,7 +305,11 @@
     def _grant(self, reply_to: str, ask: AskTokens) -> None:
         now = self._reactor.seconds()
         grant = self._bucket(ask.team).grant(
-            reply_to, wanted=ask.wanted, held=ask.held, now=now
+            reply_to,
+            wanted=ask.wanted,
+            held=ask.held,
+            returned=ask.returned,
+            now=now,
         )
         message = GrantTokens(
             ask.ask_id, ask.team, grant.tokens, grant.ttl_s, grant.retry_after_s, True
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/peer_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/peer_messages.py
@@ -49,14 +49,15 @@
         Matches the answer to the ask.
     team : str
         Team whose requests wait.
-    wanted, held : float
-        Tokens asked for, and those still held.
+    wanted, held, returned : float
+        Tokens asked for, those still held, and those that expired unspent.
     """
 
     ask_id: int
     team: str
     wanted: float
     held: float
+    returned: float = 0.0
 
 
 class GrantTokens(msgspec.Struct, tag=True, frozen=True):
