Record and replay decisions, spread configuration to five peers at once

A VM now pushes a new version, and its own heartbeat, to five peers; measured with the next slopes. Lenders were each asked for a part of what was missing, and one empty lender stopped the asking; each is now asked for all that is missing.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -2,6 +2,8 @@
 
 Starts fleets of real processes without callers, lets them settle, and reads processor
 time, memory, bytes between VMs and store operations. Prints a JSON document a line.
+
+Usage: python benchmarks/slopes.py [INDEX OF CASE ...]
 """
 
 from __future__ import annotations
@@ -33,7 +35,7 @@
 DOMAINS = ("tanta-hall", "mahalla-depot", "kafr-station")
 SETTLE_S = 3.0
 MEASURE_S = 8.0
-CASES = (
+ALL_CASES = (
     # VMs, services of three databases, teams
     (3, 1, 8),
     (9, 1, 8),
@@ -136,13 +138,14 @@
     """Run all cases."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 20_000)), hard))
-    for vms, services, teams in CASES:
+    cases = [ALL_CASES[int(index)] for index in sys.argv[1:]] or ALL_CASES
+    for vms, services, teams in cases:
         with TemporaryDirectory(prefix="guavabarrow-") as directory:
             fleet = create_fleet(directory, vms, services, teams)
             try:
                 fleet.start()
                 result = measure_idle(fleet) | measure_force(fleet)
-                if (vms, services, teams) == CASES[0]:
+                if (vms, services, teams) == ALL_CASES[0]:
                     result |= measure_connections(fleet)
             finally:
                 fleet.stop()
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
@@ -15,6 +15,7 @@
     TemplateCommand,
 )
 from guavabarrow_cli.commands.load_command import load
+from guavabarrow_cli.commands.replay_command import replay
 from guavabarrow_cli.commands.report_command import ReportCommand
 from guavabarrow_cli.commands.standin_commands import StandinCommand
 from guavabarrow_cli.commands.vm_commands import StatusCommand, VmCommand
@@ -26,6 +27,7 @@
     "fleet": FleetCommand,
     "key": KeyCommand,
     "load": load,
+    "replay": replay,
     "report": ReportCommand,
     "standin": StandinCommand,
     "status": StatusCommand,
--- a/packages/guavabarrow-core/src/guavabarrow_core/group_monitor.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/group_monitor.py
@@ -11,12 +11,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
-from typing import TYPE_CHECKING
 
 from guavabarrow_core.group_view import DatabaseReport, GroupView, Role
-
-if TYPE_CHECKING:
-    from guavabarrow_core.log_position import LogPosition
+from guavabarrow_core.log_position import LogPosition  # noqa: TC001 (decoded)
 
 SILENCE_S = 1.0
 LINK_SILENCE_S = 0.3
--- a/packages/guavabarrow-core/src/guavabarrow_core/group_view.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/group_view.py
@@ -5,10 +5,8 @@
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from guavabarrow_core.log_position import Lineage, LogPosition
+from guavabarrow_core.log_position import Lineage, LogPosition  # noqa: TC001 (decoded)
 
 MAX_SAMPLES = 512
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/membership.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/membership.py
@@ -198,13 +198,18 @@
             if self.state_of(vm) is MemberState.ALIVE and domain in (None, beat.domain)
         ]
 
-    def partners(self) -> list[Heartbeat]:
+    def partners(self, count: int = FANOUT) -> list[Heartbeat]:
         """Choose partners for one round of gossip.
 
+        Parameters
+        ----------
+        count : int
+            Number of live members.
+
         Returns
         -------
         list of Heartbeat
-            Up to ``FANOUT`` live members and at most one that seems dead, so that
+            Up to ``count`` live members and at most one that seems dead, so that
             two sides of a healed partition find each other.
         """
         live: list[Heartbeat] = []
@@ -214,7 +219,7 @@
                 continue
             bucket = dead if self.state_of(vm) is MemberState.DEAD else live
             bucket.append(beat)
-        chosen = self._random.sample(live, min(FANOUT, len(live)))
+        chosen = self._random.sample(live, min(count, len(live)))
         if dead:
             chosen.append(self._random.choice(dead))
         return chosen
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
@@ -49,6 +49,7 @@
 SNAPSHOT_EVERY = 50
 POLL_S = 0.5
 POLLERS = 2
+PUSH_FANOUT = 5
 READ_LIMIT = 200
 
 
@@ -303,8 +304,9 @@
         log_state(self._settings.vm, "configuration_in_force", version=version)
         for callback in self.on_change:
             callback(self.fleet)
-        for partner in self._membership.table.partners():
+        for partner in self._membership.table.partners(PUSH_FANOUT):
             self._push_to(partner.peer_address, before)
+        self._membership.spread_own(PUSH_FANOUT)
 
     def _push_to(self, address: str, version: int) -> None:
         revisions = self.chain.since(version)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/group_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/group_service.py
@@ -30,6 +30,7 @@
     Role,
 )
 from guavabarrow_core.log_position import LogPosition
+from guavabarrow_core.trace import TraceStart
 from guavabarrow_daemon.configuration_service import ConfigurationService
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.membership_service import MembershipService
@@ -44,6 +45,7 @@
 )
 from guavabarrow_daemon.target.messages import Status, Watch
 from guavabarrow_daemon.target.pool import TargetPool
+from guavabarrow_daemon.trace_recorder import TraceRecorder
 
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Fleet, Target
@@ -185,6 +187,7 @@
     membership: MembershipService
     reactor: Any
     owner: str
+    recorder: TraceRecorder | None = None
 
 
 @dataclass(slots=True)
@@ -214,13 +217,7 @@
         self._listeners: list[Deferred[None]] = []
         self._primary_name: str | None = None
         self._confirmed_at = float("-inf")
-        self.monitor = GroupMonitor(
-            tuple(target.name for target in entry.targets),
-            rank=0,
-            seed=hash_seed(context.settings.vm, entry.name),
-            now=context.reactor.seconds(),
-            corroborate=context.settings.policies.detection == "corroborated",
-        )
+        self.monitor = self._create_monitor(entry)
         self._loop = LoopingCall(lambda: self.step(Tick()))
         self._loop.clock = context.reactor
         self._loop.start(TICK_S, now=False)
@@ -264,7 +261,10 @@
     def step(self, event: Event) -> None:
         """Feed the monitor and perform its actions."""
         now = self.context.reactor.seconds()
-        for action in self.monitor.step(event, now):
+        actions = self.monitor.step(event, now)
+        if self.context.recorder is not None:
+            self.context.recorder.step(self.name, now, event, actions)
+        for action in actions:
             self._perform(action)
         if isinstance(event, Tick):
             self._abort_silent()
@@ -340,6 +340,26 @@
         for watch in self.targets.watch_by_target.values():
             watch.probe_now()
 
+    def _create_monitor(self, entry: ServiceEntry) -> GroupMonitor:
+        settings = self.context.settings
+        start = TraceStart(
+            group=entry.name,
+            databases=tuple(target.name for target in entry.targets),
+            rank=0,
+            seed=hash_seed(settings.vm, entry.name),
+            now=self.context.reactor.seconds(),
+            corroborate=settings.policies.detection == "corroborated",
+        )
+        if self.context.recorder is not None:
+            self.context.recorder.start(start)
+        return GroupMonitor(
+            start.databases,
+            rank=start.rank,
+            seed=start.seed,
+            now=start.now,
+            corroborate=start.corroborate,
+        )
+
     def _add(self, target: Target) -> None:
         context = self.context
         address = context.settings.dial_address(target.host, target.port)
@@ -504,6 +524,7 @@
             kernel.find(MembershipService),
             reactor,
             owner=f"{settings.vm}/{incarnation}",
+            recorder=TraceRecorder(settings.trace) if settings.trace else None,
         )
         self.by_name: dict[str, Group] = {}
 
@@ -520,6 +541,8 @@
         for group in self.by_name.values():
             group.stop()
         self.by_name.clear()
+        if self._context.recorder is not None:
+            self._context.recorder.close()
 
     def find(self, name: str) -> Group:
         """Return the group of a service.
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
@@ -82,6 +82,7 @@
     ask: AskTokens
     pending: int
     asked_at: float
+    received: float = 0.0
 
 
 class LedgerService(Service):
@@ -328,7 +329,7 @@
         round_id = self._ask_id
         sent = 0
         for lender in lenders:
-            loan = AskLoan(round_id, ask.team, missing / len(lenders))
+            loan = AskLoan(round_id, ask.team, missing)
             sent += self._peers.send(lender.peer_address, loan)
         if not sent:
             return False
@@ -356,19 +357,22 @@
             return
         now = self._reactor.seconds()
         self._bucket(loan.team).receive(loan.tokens, now)
-        if loan.tokens <= 0:
-            self._no_loan_until[loan.team] = now + LOAN_RETRY_S
         loan_round = self._loan_rounds.get(loan.ask_id)
         if loan_round is None:
             return
+        loan_round.received += loan.tokens
         loan_round.pending -= 1
         if loan_round.pending == 0:
             self._end_round(loan.ask_id)
 
     def _end_round(self, round_id: int) -> None:
         loan_round = self._loan_rounds.pop(round_id, None)
-        if loan_round is not None and self.is_holder:
-            self._grant(loan_round.reply_to, loan_round.ask)
+        if loan_round is None or not self.is_holder:
+            return
+        if loan_round.received <= 0:
+            retry_at = self._reactor.seconds() + LOAN_RETRY_S
+            self._no_loan_until[loan_round.ask.team] = retry_at
+        self._grant(loan_round.reply_to, loan_round.ask)
 
     def _has_team(self, team: str) -> bool:
         return team == OPEN_TEAM or team in self._configuration.fleet.teams
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/membership_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/membership_service.py
@@ -102,6 +102,14 @@
         """Change fields of the own heartbeat from the next beat on."""
         self._changes.update(changes)
 
+    def spread_own(self, count: int) -> None:
+        """Tell some members at once what has changed at this VM."""
+        self.table.beat(self._reactor.seconds(), **self._changes)
+        self._changes.clear()
+        message = PushHeartbeats([self.table.own])
+        for partner in self.table.partners(count):
+            self._peers.send(partner.peer_address, message)
+
     def rank(self, duty: str, domain: str | None = None) -> int:
         """Return the rank of this VM for a duty among the live VMs."""
         alive = [beat.vm for beat in self.table.alive(domain) if not beat.leaving]
