--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -93,3 +93,20 @@
     When a domain without a primary is cut off from the others and the platform
     And the ledger holder of the cut-off domain is killed
     Then its VMs still serve reads of a stated age of 60 s from its database
+
+  Scenario: A planned stop waits for open transactions
+    Given a fleet of 3 VMs
+    When vm-1 gets SIGTERM while a caller has a transaction open
+    Then the transaction can be committed and vm-1 ends with status 0
+
+  Scenario: All VMs are replaced one after the other under load
+    Given a fleet of 3 VMs
+    And a crowd at all VMs that follows refusals to other VMs
+    When each VM is killed and started again in turn
+    Then no acknowledged write was lost and none ran twice
+
+  Scenario: Scarce connections are shared and never exceeded
+    Given a fleet of 3 VMs before databases with 6 connections
+    And a crowd at all VMs
+    When 100 more writes are acknowledged
+    Then no database had more than 6 connections and no caller was refused
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -508,3 +508,66 @@
     events = [json.loads(line) for line in log.splitlines() if line.startswith("{")]
     lost = [event for event in events if event["event"] == "member_lost"]
     assert lost == []
+
+
+# Replacement and scarce connections -----------------------------------------
+
+
+@when("vm-1 gets SIGTERM while a caller has a transaction open")
+def _(world):
+    caller = world.caller()
+    transaction = caller.begin()
+    assert caller.execute(transaction, "INSERT INTO entry VALUES ('kept')").ok
+    process = world.fleet.process_by_name["vm-1"]
+    process.terminate()
+    port = world.fleet.port_by_name["vm-1"]
+    wait_until(lambda: request(port, "GET", "/readyz")[0] == 503, "not ready")
+    time.sleep(1.0)
+    caller.close()
+    world.facts["commit"] = caller.commit(transaction)
+    world.facts["status"] = process.wait(timeout=30)
+    del world.fleet.process_by_name["vm-1"]
+
+
+@then("the transaction can be committed and vm-1 ends with status 0")
+def _(world):
+    assert world.facts["commit"].ok, world.facts["commit"]
+    assert world.facts["status"] == 0
+    assert world.rows() == ["kept"]
+
+
+@when("each VM is killed and started again in turn")
+def _(world):
+    for vm in world.fleet.vms:
+        world.fleet.kill(vm)
+        world.wait_acknowledged(10)
+        world.fleet.restart(vm)
+        port = world.fleet.port_by_name[vm]
+        wait_until(lambda port=port: request(port, "GET", "/readyz")[0] == 200, vm)
+    world.wait_acknowledged(10)
+
+
+@then("no acknowledged write was lost and none ran twice")
+def _(world):
+    crowd = world.end_crowd()
+    assert crowd.history.check(world.rows()) == []
+
+
+@given("a fleet of 3 VMs before databases with 6 connections")
+def _(world):
+    world.start(connections=6)
+
+
+@when("100 more writes are acknowledged")
+def _(world):
+    world.wait_acknowledged(100)
+
+
+@then("no database had more than 6 connections and no caller was refused")
+def _(world):
+    crowd = world.end_crowd()
+    for database in world.fleet.databases:
+        recorded = post(world.fleet.port_by_name[database], "/recorded", {})
+        assert recorded["max_sessions"] <= 6
+    assert crowd.failures == []
+    assert crowd.history.check(world.rows()) == []
