Read the store again before a change is refused

Cause: an experiment failed because one read of the store took more than 0.4 s on a busy machine, and a change was refused at the first such read. Change: four attempts before the operator is told that nothing was changed.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
@@ -51,6 +51,7 @@
 POLLERS = 2
 PUSH_FANOUT = 5
 READ_LIMIT = 200
+READ_ATTEMPTS = 4
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -177,13 +178,7 @@
         return action.version
 
     async def _base(self, base_version: int | None, operation_id: str) -> Fleet | int:
-        try:
-            await self._refresh()
-        except PlatformUnavailable as error:
-            raise ConfigurationError(
-                "The platform's store does not answer; nothing was changed. "
-                "Repeat later with the same operation id."
-            ) from error
+        await self._refresh_patiently()
         for revision in self.chain.since(max(0, self.chain.version - 200)) or []:
             if revision.operation_id == operation_id:
                 return revision.version
@@ -191,6 +186,19 @@
             return self.fleet
         return await self._fleet_at(base_version)
 
+    async def _refresh_patiently(self) -> None:
+        for attempt in range(READ_ATTEMPTS):
+            try:
+                await self._refresh()
+            except PlatformUnavailable as error:
+                if attempt + 1 < READ_ATTEMPTS:
+                    continue
+                raise ConfigurationError(
+                    "The platform's store does not answer; nothing was changed. "
+                    "Repeat later with the same operation id."
+                ) from error
+            return
+
     async def _fleet_at(self, version: int) -> Fleet:
         older = ConfigurationChain()
         rows = await self._read_revisions(0)
