--- a/packages/guavabarrow-cli/src/guavabarrow_cli/demo.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/demo.py
@@ -22,7 +22,7 @@
 from guavabarrow_daemon.group_service import GroupService
 
 if TYPE_CHECKING:
-    from guavabarrow_daemon.group_service import Group
+    from guavabarrow_daemon.group import Group
 
 KARIAKOO = "dar-kariakoo"
 TANTA = "tanta-hall"
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/admin_api.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/admin_api.py
@@ -13,7 +13,7 @@
 from guavabarrow_core.membership import MemberState
 from guavabarrow_daemon.configuration_service import ConfigurationService
 from guavabarrow_daemon.drain_service import DrainService
-from guavabarrow_daemon.group_service import Group, GroupService
+from guavabarrow_daemon.group_service import GroupService
 from guavabarrow_daemon.http.site import Routes, TrackedSite, answer, answer_json
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.ledger_service import LedgerService
@@ -25,6 +25,7 @@
 
     from twisted.web.server import Request
 
+    from guavabarrow_daemon.group import Group
     from guavabarrow_daemon.settings import Settings
 
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
@@ -2,28 +2,19 @@
 
 from __future__ import annotations
 
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from guavabarrow_core.allowance import GRANT_TTL_S, DomainBucket, TokenCache
+from guavabarrow_core.allowance import GRANT_TTL_S, DomainBucket
 from guavabarrow_core.exceptions import Overloaded, RateExceeded
 from guavabarrow_core.fleet import OPEN_TEAM, TeamLimits
-from guavabarrow_core.lease import (
-    Claim,
-    Lease,
-    LeaseTick,
-    RowRead,
-    StoreFailed,
-    WriteRow,
-)
 from guavabarrow_core.rendezvous import ranked
 from guavabarrow_daemon.configuration_service import ConfigurationService
 from guavabarrow_daemon.kernel import Kernel, Service
-from guavabarrow_daemon.lease_store import LeaseStore
+from guavabarrow_daemon.lease_runner import LeaseRunner
 from guavabarrow_daemon.membership_service import MembershipService
 from guavabarrow_daemon.metrics import Metrics
 from guavabarrow_daemon.peer_messages import (
@@ -33,47 +24,22 @@
     GrantTokens,
 )
 from guavabarrow_daemon.peers import Peers
-from guavabarrow_daemon.platform.interface import PlatformUnavailable
 from guavabarrow_daemon.state_log import log_state
+from guavabarrow_daemon.token_desk import TeamDesk, Waiter
 
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Fleet
-    from guavabarrow_core.lease import LeaseAction
     from guavabarrow_core.membership import Heartbeat
     from guavabarrow_daemon.platform.interface import TableService
     from guavabarrow_daemon.settings import Settings
 
 TICK_S = 0.1
-ASK_TIMEOUT_S = 0.5
 LOAN_TIMEOUT_S = 0.05
 LOAN_RETRY_S = 0.1
-HOLDER_SILENT_S = 1.6
-STANDBYS = 2
 MAX_WAITING = 2000
 OPEN_LIMITS = TeamLimits(rate_per_s=200.0, burst=200.0, weight=1.0, read_max_age_s=None)
 
 
-@dataclass(eq=False, slots=True)
-class Waiter:
-    """A request that waits for tokens."""
-
-    cost: float
-    deadline: float
-    turn: Deferred[None]
-
-
-@dataclass(slots=True)
-class TeamDesk:
-    """Tokens and waiting requests of one team at this VM."""
-
-    cache: TokenCache = field(default_factory=TokenCache)
-    waiters: deque[Waiter] = field(default_factory=deque)
-    ask_id: int = 0
-    asked_at: float = 0.0
-    asked_vm: str = ""
-    asking: bool = False
-
-
 @dataclass(slots=True)
 class LoanRound:
     """An ask that the holder could not meet from its own bucket."""
@@ -112,8 +78,9 @@
         self._membership = kernel.find(MembershipService)
         self._configuration = kernel.find(ConfigurationService)
         self._metrics = kernel.find(Metrics)
-        self._store = LeaseStore(table, f"ledger/{settings.domain}", reactor)
-        self._lease = Lease(settings.vm)
+        self._lease = LeaseRunner(
+            settings, table, self._membership, reactor, self._notice_role
+        )
         self._desk_by_team: dict[str, TeamDesk] = {}
         self._bucket_by_team: dict[str, DomainBucket] = {}
         self._loan_rounds: dict[int, LoanRound] = {}
@@ -124,12 +91,11 @@
         self._ask_id = 0
         self._loop = LoopingCall(self._tick)
         self._loop.clock = reactor
-        self._is_leaving = False
 
     @property
     def is_holder(self) -> bool:
         """Whether this VM keeps its domain's ledger now."""
-        return self._lease.holds(self._reactor.seconds())
+        return self._lease.is_holder
 
     @property
     def is_founder(self) -> bool:
@@ -149,9 +115,7 @@
 
     async def hand_back(self) -> None:
         """Release the lease and take it no more."""
-        self._is_leaving = True
-        for action in self._lease.release(self._reactor.seconds()):
-            await self._perform(action)
+        await self._lease.release()
 
     async def admit(self, team: str, *, cost: float, deadline: float) -> None:
         """Take tokens for a request, asking the ledger before refusing.
@@ -219,21 +183,15 @@
     def _ask(self, team: str, desk: TeamDesk) -> None:
         now = self._reactor.seconds()
         holder = self._find_ledger(team)
-        is_pending = desk.asking and now - desk.asked_at < ASK_TIMEOUT_S
-        if holder is None or (is_pending and desk.asked_vm == holder.vm):
+        if holder is None or desk.is_asking(holder.vm, now):
             return
-        waiting = sum(waiter.cost for waiter in desk.waiters)
-        wanted = desk.cache.wanted(waiting, now)
+        wanted = desk.cache.wanted(desk.waiting_cost, now)
         if wanted <= 0:
             return
         self._ask_id += 1
-        desk.ask_id = self._ask_id
-        desk.asked_at = now
-        desk.asking = True
-        desk.asked_vm = holder.vm
+        desk.note_ask(self._ask_id, holder.vm, now)
         returned = desk.cache.take_returned()
-        held = desk.cache.tokens
-        message = AskTokens(desk.ask_id, team, wanted, held, returned)
+        message = AskTokens(desk.ask_id, team, wanted, desk.cache.tokens, returned)
         if holder.vm == self._settings.vm:
             self._on_ask("", message)
         else:
@@ -259,35 +217,13 @@
         expires_at = desk.asked_at + grant.ttl_s
         desk.cache.add(grant.tokens, expires_at=expires_at, now=now)
         self._metrics.tokens.labels("granted").inc(grant.tokens)
-        self._serve_waiters(desk, now)
+        desk.serve_waiters(now)
         if grant.retry_after_s > 0:
-            self._refuse_waiters(desk, grant.retry_after_s)
+            refused = desk.refuse_waiters(grant.retry_after_s)
+            self._metrics.tokens.labels("refused").inc(refused)
         elif desk.waiters:
             self._ask(grant.team, desk)
 
-    def _serve_waiters(self, desk: TeamDesk, now: float) -> None:
-        while desk.waiters:
-            waiter = desk.waiters[0]
-            if waiter.deadline <= now:
-                desk.waiters.popleft()
-                waiter.turn.errback(_no_ledger())
-            elif desk.cache.spend(waiter.cost, now):
-                desk.waiters.popleft()
-                waiter.turn.callback(None)
-            else:
-                return
-
-    def _refuse_waiters(self, desk: TeamDesk, retry_after_s: float) -> None:
-        refused, desk.waiters = desk.waiters, deque()
-        self._metrics.tokens.labels("refused").inc(len(refused))
-        for waiter in refused:
-            waiter.turn.errback(
-                RateExceeded(
-                    "The team is above its rate and burst over the whole fleet.",
-                    retry_after_s=retry_after_s,
-                )
-            )
-
     def _on_ask(self, reply_to: str, ask: AskTokens) -> None:
         now = self._reactor.seconds()
         is_open = self.is_holder and now >= self._opens_at
@@ -412,35 +348,12 @@
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
-        for action in self._lease.step(self._lease_tick(), now):
-            Deferred.fromCoroutine(self._perform(action))
-        self._notice_role()
+        self._lease.tick()
         for team, desk in list(self._desk_by_team.items()):
-            self._serve_waiters(desk, now)
+            desk.serve_waiters(now)
             if desk.waiters:
                 self._ask(team, desk)
 
-    def _lease_tick(self) -> LeaseTick:
-        table = self._membership.table
-        rank = self._membership.rank("ledger", self._settings.domain)
-        claim = self._membership.ledger_holder(self._settings.domain)
-        epochs = [
-            beat.ledger_epoch
-            for beat in table.by_vm.values()
-            if beat.domain == self._settings.domain
-        ]
-        rival = None
-        if claim is not None and claim.vm != self._settings.vm:
-            rival = Claim(claim.ledger_epoch, claim.vm)
-        is_silent = table.silent_s(self._lease.row.holder) > HOLDER_SILENT_S
-        return LeaseTick(
-            wants=rank < STANDBYS and not self._is_leaving,
-            is_first=rank == 0,
-            holder_silent=claim is None and is_silent,
-            known_epoch=max(epochs, default=0),
-            rival=rival,
-        )
-
     def _notice_role(self) -> None:
         is_holder = self.is_holder
         changed = is_holder != self._was_holder or (
@@ -460,23 +373,3 @@
         )
         event = "ledger_held" if is_holder else "ledger_left"
         log_state(self._settings.vm, event, epoch=self._lease.epoch)
-
-    async def _perform(self, action: LeaseAction) -> None:
-        asked_at = self._reactor.seconds()
-        try:
-            if isinstance(action, WriteRow):
-                row, written = await self._store.write(action.row)
-            else:
-                row, written = await self._store.read(), False
-            event: RowRead | StoreFailed = RowRead(row, asked_at, written)
-        except PlatformUnavailable:
-            event = StoreFailed()
-        self._lease.step(event, self._reactor.seconds())
-        self._notice_role()
-
-
-def _no_ledger() -> Overloaded:
-    return Overloaded(
-        "The ledger of the team's rate did not answer in time.",
-        retry_after_s=GRANT_TTL_S,
-    )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/statement_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/statement_service.py
@@ -32,7 +32,7 @@
     WaitForReport,
 )
 from guavabarrow_core.retry_budget import RetryBudget
-from guavabarrow_daemon.group_service import Group, GroupService
+from guavabarrow_daemon.group_service import GroupService
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.key_service import KeyService
 from guavabarrow_daemon.metrics import Metrics
@@ -53,6 +53,7 @@
 if TYPE_CHECKING:
     from guavabarrow_core.group_view import DatabaseReport
     from guavabarrow_daemon.caller_context import CallerContext
+    from guavabarrow_daemon.group import Group
     from guavabarrow_daemon.settings import Settings
 
 REPORT_WAIT_S = 0.25
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/target_watch.py
@@ -0,0 +1,129 @@
+"""Keeps one database's status up to date."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+
+from guavabarrow_core.group_monitor import ProbeFailed, ReportReceived
+from guavabarrow_core.group_view import DatabaseReport, Role
+from guavabarrow_daemon.target.interface import (
+    TargetBroken,
+    TargetControl,
+    TargetRefused,
+)
+from guavabarrow_daemon.target.messages import Status, Watch
+
+if TYPE_CHECKING:
+    from guavabarrow_core.fleet import Target
+    from guavabarrow_daemon.group import Group
+
+HOLD_S = 0.5
+WATCH_TIMEOUT_S = 1.0
+RETRY_S = 0.1
+
+
+class TargetWatch:
+    """Task that keeps one database's status up to date.
+
+    Parameters
+    ----------
+    target : Target
+        Database.
+    control : TargetControl
+        Control client that this task owns.
+    group : Group
+        Receiver of the events.
+    reactor : object
+        Clock.
+    """
+
+    def __init__(
+        self, target: Target, control: TargetControl, group: Group, reactor: Any
+    ) -> None:
+        self.target = target
+        self.control = control
+        self._group = group
+        self._reactor = reactor
+        self._running = True
+        self._pause: Deferred[None] | None = None
+        Deferred.fromCoroutine(self._run())
+
+    def wake(self) -> None:
+        """End the pause between two probes."""
+        pause, self._pause = self._pause, None
+        if pause is not None:
+            pause.callback(None)
+
+    def stop(self) -> None:
+        """End the task."""
+        self._running = False
+        self.control.close()
+
+    def probe_now(self) -> None:
+        """Probe without waiting for a change, beside the running watch."""
+        Deferred.fromCoroutine(self._probe())
+
+    async def _probe(self) -> None:
+        sent_at = self._reactor.seconds()
+        try:
+            status = await self.control.status(timeout_s=WATCH_TIMEOUT_S)
+        except (TargetBroken, TargetRefused):
+            return
+        if self._running:
+            self._report(status, sent_at)
+
+    async def _run(self) -> None:
+        known = Watch()
+        while self._running:
+            sent_at = self._reactor.seconds()
+            try:
+                status = await self.control.watch(known, timeout_s=WATCH_TIMEOUT_S)
+            except (TargetBroken, TargetRefused):
+                known = Watch()
+                if self._running:
+                    elapsed_s = self._reactor.seconds() - sent_at
+                    is_broken = elapsed_s < WATCH_TIMEOUT_S * 0.9
+                    self._group.step(ProbeFailed(self.target.name, is_broken))
+                    await self._sleep(RETRY_S)
+                continue
+            if not self._running:
+                return
+            held = self._reactor.seconds() - sent_at
+            self._report(status, sent_at)
+            last = status.lineage.last
+            known = Watch(
+                last.term, last.index, status.promised_term, int(HOLD_S * 1000)
+            )
+            pause_s = self._group.watch_interval_s - held
+            if pause_s > 0:
+                await self._pause_for(pause_s)
+
+    async def _pause_for(self, duration_s: float) -> None:
+        self._pause = Deferred()
+        timer = self._reactor.callLater(duration_s, self.wake)
+        await self._pause
+        if timer.active():
+            timer.cancel()
+
+    def _report(self, status: Status, sent_at: float) -> None:
+        link_age_s = None
+        if status.link_age_ms is not None:
+            link_age_s = status.link_age_ms / 1000
+        report = DatabaseReport(
+            database=self.target.name,
+            role=Role(status.role),
+            promised_term=status.promised_term,
+            lineage=status.lineage,
+            link_age_s=link_age_s,
+            open_transactions=status.open_transactions,
+            sent_at=sent_at,
+            received_at=self._reactor.seconds(),
+        )
+        self._group.step(ReportReceived(report))
+
+    def _sleep(self, duration_s: float) -> Deferred[None]:
+        done: Deferred[None] = Deferred()
+        self._reactor.callLater(duration_s, done.callback, None)
+        return done
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/token_desk.py
@@ -0,0 +1,85 @@
+"""Tokens of one team at this VM, and the requests that wait for them."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from guavabarrow_core.allowance import GRANT_TTL_S, TokenCache
+from guavabarrow_core.exceptions import Overloaded, RateExceeded
+
+if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
+ASK_TIMEOUT_S = 0.5
+
+
+@dataclass(eq=False, slots=True)
+class Waiter:
+    """A request that waits for tokens."""
+
+    cost: float
+    deadline: float
+    turn: Deferred[None]
+
+
+@dataclass(slots=True)
+class TeamDesk:
+    """Tokens and waiting requests of one team at this VM."""
+
+    cache: TokenCache = field(default_factory=TokenCache)
+    waiters: deque[Waiter] = field(default_factory=deque)
+    ask_id: int = 0
+    asked_at: float = 0.0
+    asked_vm: str = ""
+    asking: bool = False
+
+    @property
+    def waiting_cost(self) -> float:
+        """Tokens for which requests wait."""
+        return sum(waiter.cost for waiter in self.waiters)
+
+    def is_asking(self, holder: str, now: float) -> bool:
+        """Tell whether an answer of ``holder`` can still be expected."""
+        in_time = now - self.asked_at < ASK_TIMEOUT_S
+        return self.asking and in_time and self.asked_vm == holder
+
+    def note_ask(self, ask_id: int, holder: str, now: float) -> None:
+        """Remember the only ask whose answer counts from now on."""
+        self.ask_id = ask_id
+        self.asked_at = now
+        self.asked_vm = holder
+        self.asking = True
+
+    def serve_waiters(self, now: float) -> None:
+        """Let requests go in order of arrival while there are tokens."""
+        while self.waiters:
+            waiter = self.waiters[0]
+            if waiter.deadline <= now:
+                self.waiters.popleft()
+                waiter.turn.errback(_no_ledger())
+            elif self.cache.spend(waiter.cost, now):
+                self.waiters.popleft()
+                waiter.turn.callback(None)
+            else:
+                return
+
+    def refuse_waiters(self, retry_after_s: float) -> int:
+        """Refuse all waiting requests for their rate; returns their number."""
+        refused, self.waiters = self.waiters, deque()
+        for waiter in refused:
+            waiter.turn.errback(
+                RateExceeded(
+                    "The team is above its rate and burst over the whole fleet.",
+                    retry_after_s=retry_after_s,
+                )
+            )
+        return len(refused)
+
+
+def _no_ledger() -> Overloaded:
+    return Overloaded(
+        "The ledger of the team's rate did not answer in time.",
+        retry_after_s=GRANT_TTL_S,
+    )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/transaction_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/transaction_service.py
@@ -20,7 +20,7 @@
 )
 from guavabarrow_core.group_view import Durability
 from guavabarrow_core.request_id import create_request_id
-from guavabarrow_daemon.group_service import Group, GroupService
+from guavabarrow_daemon.group_service import GroupService
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.key_service import KeyService
 from guavabarrow_daemon.statement_service import (
@@ -39,6 +39,7 @@
 if TYPE_CHECKING:
     from guavabarrow_core.key_ring import KeyOwner
     from guavabarrow_daemon.caller_context import CallerContext
+    from guavabarrow_daemon.group import Group
     from guavabarrow_daemon.settings import Settings
     from guavabarrow_daemon.target.pool import Checkout
 
--- a/tests/harness/broken_vm.py
+++ b/tests/harness/broken_vm.py
@@ -16,7 +16,7 @@
 from guavabarrow_core.log_position import LogPosition
 from guavabarrow_daemon import main
 from guavabarrow_daemon.caller_api import CallerApi
-from guavabarrow_daemon.group_service import Group
+from guavabarrow_daemon.group import Group
 from guavabarrow_daemon.key_service import KeyService
 from guavabarrow_daemon.ledger_service import LedgerService
 from guavabarrow_daemon.statement_service import StatementService
