--- a/packages/guavabarrow-cli/src/guavabarrow_cli/experiment_measures.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/experiment_measures.py
@@ -6,7 +6,10 @@
 from statistics import mean
 from typing import TYPE_CHECKING, Any
 
+from guavabarrow_core.history import check_rate
+
 if TYPE_CHECKING:
+    from guavabarrow_cli.embedded_fleet import Layout
     from guavabarrow_cli.experiment_plan import ExperimentPlan
     from guavabarrow_cli.load_result import LoadResult
 
@@ -31,6 +34,8 @@
         Share of requests of teams within their rate refused for their rate.
     domain_service_share : float or None
         Share of requests with a result while a domain leaves and returns.
+    teams_above_rate : int
+        Teams that got more than rate and burst in some window; must be 0.
     p50_ms, p99_ms : float
         Latency of all teams within their rate.
     """
@@ -40,17 +45,20 @@
     worst_served_share: float
     wrongful_refusal_share: float
     domain_service_share: float | None
+    teams_above_rate: int
     p50_ms: float
     p99_ms: float
 
 
-def take_measures(plan: ExperimentPlan, result: LoadResult) -> Measures:
+def take_measures(plan: ExperimentPlan, layout: Layout, result: LoadResult) -> Measures:
     """Return the measures of one run.
 
     Parameters
     ----------
     plan : ExperimentPlan
         Names the faults and the greedy team.
+    layout : Layout
+        Rates and bursts of the teams.
     result : LoadResult
         What callers saw.
     """
@@ -64,6 +72,7 @@
         worst_served_share=round(min(team.served_share for team in within), 5),
         wrongful_refusal_share=round(refused / max(1, sent), 6),
         domain_service_share=_domain_service(plan, result, greedy),
+        teams_above_rate=_teams_above_rate(layout, result),
         p50_ms=round(mean(_percentile(team, 50.0) for team in within), 2),
         p99_ms=round(max(_percentile(team, 99.0) for team in within), 2),
     )
@@ -102,6 +111,19 @@
     return round(max(gaps), 3) if gaps else None
 
 
+def _teams_above_rate(layout: Layout, result: LoadResult) -> int:
+    return sum(
+        bool(
+            check_rate(
+                result.by_team[team.name].admitted,
+                rate_per_s=team.rate_per_s,
+                burst=team.burst,
+            )
+        )
+        for team in layout.teams
+    )
+
+
 def _domain_service(
     plan: ExperimentPlan, result: LoadResult, greedy: str | None
 ) -> float | None:
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/experiment_runner.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/experiment_runner.py
@@ -91,7 +91,7 @@
         for fault in pending:
             await fault
         await fleet.stop()
-        return take_measures(plan, result)
+        return take_measures(plan, layout, result)
 
     def _load_plan(self, fleet: EmbeddedFleet, seed: int) -> LoadPlan:
         plan = self._plan
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
@@ -22,7 +22,7 @@
 )
 from guavabarrow_core.exceptions import ConfigurationError
 from guavabarrow_core.fleet import decode_fleet, encode_fleet
-from guavabarrow_core.fleet_change import Revision, apply_revision
+from guavabarrow_core.fleet_change import Revision
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.membership_service import MembershipService
 from guavabarrow_daemon.metrics import Metrics
@@ -332,11 +332,6 @@
             self._peers.send(newest.peer_address, PullConfiguration(self.chain.version))
 
 
-def check_changes(fleet: Fleet, changes: tuple[Change, ...]) -> None:
-    """Raise :class:`ConfigurationError` if the changes cannot be applied."""
-    apply_revision(fleet, Revision(fleet.version + 1, "check", "check", changes))
-
-
 def _revision_key(version: int) -> str:
     return f"{REVISION_PREFIX}{version:012d}"
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_runner.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_runner.py
@@ -58,7 +58,7 @@
         self._membership = membership
         self._reactor = reactor
         self._on_step = on_step
-        self._store = LeaseStore(table, f"ledger/{settings.domain}", reactor)
+        self._store = LeaseStore(table, f"ledger/{settings.domain}")
         self._lease = Lease(settings.vm)
         self._is_leaving = False
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_store.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -30,14 +30,11 @@
         The platform's table service.
     key : str
         Key of the row.
-    reactor : object
-        Clock.
     """
 
-    def __init__(self, table: TableService, key: str, reactor: Any) -> None:
+    def __init__(self, table: TableService, key: str) -> None:
         self._table = table
         self._key = key
-        self._reactor = reactor
 
     async def read(self) -> LeaseRow:
         """Return the row, an empty one if it does not exist."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/metrics.py
@@ -68,7 +68,6 @@
         self.store_operations = self._counter(
             "store_operations", "Operations sent to the platform", "kind"
         )
-        self.probes = self._counter("probes", "Probes of databases", "result")
         self.tokens = self._counter("tokens", "Rate tokens by event", "event")
         self.connections = self._gauge(
             "target_connections", "Open connections to targets", "target"
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/peer_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/peer_messages.py
@@ -103,8 +103,6 @@
     ----------
     total : int
         Permits that the asker may use.
-    ttl_s : float
-        Lifetime, counted from the ask.
     recall : int
         Idle permits that others wait for.
     """
@@ -112,7 +110,6 @@
     ask_id: int
     target: str
     total: int
-    ttl_s: float
     recall: int
     is_holder: bool
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
@@ -8,7 +8,6 @@
 from twisted.internet.task import LoopingCall
 
 from guavabarrow_core.permits import (
-    PERMIT_TTL_S,
     REGISTRATION_S,
     PermitBook,
     PermitGrant,
@@ -187,7 +186,6 @@
             ask.ask_id,
             ask.target,
             grant.total,
-            PERMIT_TTL_S,
             grant.recall,
             book is not None,
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/statement_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/statement_service.py
@@ -58,7 +58,6 @@
 
 REPORT_WAIT_S = 0.25
 RETRY_AFTER_S = 0.5
-RESOLVE_LIMIT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,8 +222,7 @@
             If no primary could tell before the deadline.
         """
         group = self._groups.find(service)
-        limit = self._reactor.seconds() + RESOLVE_LIMIT_S
-        deadline = max(context.deadline, limit)
+        deadline = context.deadline
         while self._reactor.seconds() < deadline:
             try:
                 primary = await self.await_primary(group, deadline)
