Name things by their standard terms and follow changed connection budgets

Cause: a reading as a newcomer found metaphors (desk, book, pulse, crowd, hand back) and a permit table that kept the budget it was created with. Change: team_admission, PermitTable, HeartbeatDigest, Workload, release_lease; budgets follow the configuration.

--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -17,7 +17,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "tests"))
 
-from harness.caller import Caller, Crowd
+from harness.caller import Caller, Workload
 from harness.process_fleet import ProcessFleet, wait_until
 
 from guavabarrow_cli.embedded_fleet import Layout, LayoutService, LayoutTeam
@@ -60,12 +60,12 @@
             ports = [fleet.port_by_name[vm] for vm in fleet.vms]
             setup = Caller(ports, TEAM.key)
             assert setup.write("CREATE TABLE entry (row TEXT)").ok
-            with Crowd(ports, TEAM.key, size=4, pause_s=0.02) as crowd:
+            with Workload(ports, TEAM.key, size=4, pause_s=0.02) as workload:
                 for _ in range(kills):
-                    gaps.append(measure_gap(fleet, crowd))
-            violations = crowd.history.check(crowd.final_rows(setup))
+                    gaps.append(measure_gap(fleet, workload))
+            violations = workload.history.check(workload.final_rows(setup))
             unknown = sum(
-                write.ran is Ran.OUTCOME_UNKNOWN for write in crowd.history.writes
+                write.ran is Ran.OUTCOME_UNKNOWN for write in workload.history.writes
             )
             document = {
                 "detection": detection,
@@ -74,8 +74,8 @@
                 "p90_s": round(sorted(gaps)[int(0.9 * (len(gaps) - 1))], 4),
                 "worst_s": round(max(gaps), 4),
                 "phase_mean_s": phase_means(fleet),
-                "writes": len(crowd.history.writes),
-                "refused_answers": len(crowd.failures),
+                "writes": len(workload.history.writes),
+                "refused_answers": len(workload.failures),
                 "unknown_outcomes": unknown,
                 "violations": [str(violation) for violation in violations],
             }
@@ -84,7 +84,7 @@
     sys.stdout.write(json.dumps(document) + "\n")
 
 
-def measure_gap(fleet: ProcessFleet, crowd: Crowd) -> float:
+def measure_gap(fleet: ProcessFleet, workload: Workload) -> float:
     """Kill the primary, wait for an acknowledged write, and restart it."""
     primary = fleet.primary(SERVICE)
     killed_at = time.monotonic()
@@ -93,7 +93,7 @@
     def first_after() -> float | None:
         times = [
             write.answered_at
-            for write in crowd.history.writes[-50:]
+            for write in workload.history.writes[-50:]
             if write.ran is Ran.RAN and write.sent_at >= killed_at
         ]
         return min(times, default=None)
--- a/packages/guavabarrow-core/src/guavabarrow_core/membership.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/membership.py
@@ -1,6 +1,6 @@
 """Membership of VMs by gossiped heartbeats.
 
-Each VM advances its own counter and spreads what it has heard, as short pulses of
+Each VM advances its own counter and spreads what it has heard, as short digests of
 bounded number; the whole heartbeat of a VM is sent only to those who lack its newest
 content. A member is judged only by how long its counter has stood still while this
 VM itself was awake, so a VM that was paused does not exclude everybody else when it
@@ -24,7 +24,7 @@
 FORGET_S = 600.0
 FANOUT = 2
 PAUSE_S = 1.0
-MAX_PULSES = 24
+MAX_DIGESTS = 24
 
 
 class MemberState(Enum):
@@ -82,7 +82,7 @@
         return (self.incarnation, self.counter)
 
 
-class Pulse(msgspec.Struct, frozen=True, array_like=True):
+class HeartbeatDigest(msgspec.Struct, frozen=True, array_like=True):
     """Sign of life of a VM whose heartbeat the receiver probably knows."""
 
     vm: str
@@ -111,9 +111,9 @@
         self._silent_s: dict[str, float] = {own.vm: 0.0}
         self._random = Random(seed)
         self._ticked_at = now
-        self._next_pulse = 0
+        self._next_digest = 0
 
-    def beat(self, now: float, **changes: object) -> list[Pulse]:
+    def beat(self, now: float, **changes: object) -> list[HeartbeatDigest]:
         """Advance the own heartbeat and age the others.
 
         Parameters
@@ -125,9 +125,9 @@
 
         Returns
         -------
-        list of Pulse
-            Pulses to send to the partners: the own one and those of up to
-            ``MAX_PULSES`` live members, in turn if there are more.
+        list of HeartbeatDigest
+            Digests to send to the partners: the own one and those of up to
+            ``MAX_DIGESTS`` live members, in turn if there are more.
         """
         self._age(now)
         if changes:
@@ -137,10 +137,10 @@
         )
         self.by_vm[self.own.vm] = self.own
         self._silent_s[self.own.vm] = 0.0
-        return [_pulse(beat) for beat in (self.own, *self._next_live())]
+        return [_digest(beat) for beat in (self.own, *self._next_live())]
 
-    def merge_pulses(self, pulses: Iterable[Pulse]) -> list[str]:
-        """Take over pulses that are newer than what is known.
+    def merge_digests(self, digests: Iterable[HeartbeatDigest]) -> list[str]:
+        """Take over digests that are newer than what is known.
 
         Returns
         -------
@@ -148,17 +148,17 @@
             VMs whose whole heartbeat is needed.
         """
         needed = []
-        for pulse in pulses:
-            known = self.by_vm.get(pulse.vm)
-            if pulse.vm == self.own.vm:
+        for digest in digests:
+            known = self.by_vm.get(digest.vm)
+            if digest.vm == self.own.vm:
                 continue
-            if known is None or _content(pulse) > _content(known):
-                needed.append(pulse.vm)
-            elif (pulse.incarnation, pulse.counter) > known.order:
-                self.by_vm[pulse.vm] = msgspec.structs.replace(
-                    known, counter=pulse.counter
+            if known is None or _content(digest) > _content(known):
+                needed.append(digest.vm)
+            elif (digest.incarnation, digest.counter) > known.order:
+                self.by_vm[digest.vm] = msgspec.structs.replace(
+                    known, counter=digest.counter
                 )
-                self._silent_s[pulse.vm] = 0.0
+                self._silent_s[digest.vm] = 0.0
         return needed
 
     def merge(self, heartbeats: Iterable[Heartbeat]) -> None:
@@ -240,11 +240,11 @@
             for vm, beat in self.by_vm.items()
             if vm != self.own.vm and self._silent_s[vm] < SUSPECT_S
         ]
-        if len(live) <= MAX_PULSES:
+        if len(live) <= MAX_DIGESTS:
             return live
-        start = self._next_pulse % len(live)
-        self._next_pulse += MAX_PULSES
-        return (live + live)[start : start + MAX_PULSES]
+        start = self._next_digest % len(live)
+        self._next_digest += MAX_DIGESTS
+        return (live + live)[start : start + MAX_DIGESTS]
 
     def _forget(self) -> None:
         gone = [vm for vm, silent_s in self._silent_s.items() if silent_s > FORGET_S]
@@ -253,9 +253,9 @@
             del self.by_vm[vm]
 
 
-def _pulse(beat: Heartbeat) -> Pulse:
-    return Pulse(beat.vm, beat.incarnation, beat.counter, beat.content)
+def _digest(beat: Heartbeat) -> HeartbeatDigest:
+    return HeartbeatDigest(beat.vm, beat.incarnation, beat.counter, beat.content)
 
 
-def _content(source: Heartbeat | Pulse) -> tuple[int, int]:
+def _content(source: Heartbeat | HeartbeatDigest) -> tuple[int, int]:
     return (source.incarnation, source.content)
--- a/packages/guavabarrow-core/src/guavabarrow_core/permits.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/permits.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(slots=True)
-class PermitBook:
+class PermitTable:
     """The holder's record of one target.
 
     Parameters
@@ -53,12 +53,12 @@
 
     Examples
     --------
-    >>> book = PermitBook(budget=3, opened_at=-10.0)
-    >>> book.renew("a", held=0, wanted=3, now=0.0).total
+    >>> table = PermitTable(budget=3, opened_at=-10.0)
+    >>> table.renew("a", held=0, wanted=3, now=0.0).total
     3
-    >>> book.renew("b", held=0, wanted=1, now=0.0).total
+    >>> table.renew("b", held=0, wanted=1, now=0.0).total
     0
-    >>> book.renew("a", held=3, wanted=3, now=0.1).recall
+    >>> table.renew("a", held=3, wanted=3, now=0.1).recall
     1
     """
 
--- a/packages/guavabarrow-core/tests/test_membership.py
+++ b/packages/guavabarrow-core/tests/test_membership.py
@@ -1,6 +1,6 @@
 from guavabarrow_core.membership import (
     HEARTBEAT_S,
-    MAX_PULSES,
+    MAX_DIGESTS,
     Heartbeat,
     Membership,
     MemberState,
@@ -31,15 +31,15 @@
             for vm, member in self.members.items():
                 if vm in self.down:
                     continue
-                pulses = member.beat(self.now)
-                largest = max(largest, len(pulses))
+                digests = member.beat(self.now)
+                largest = max(largest, len(digests))
                 for partner in member.partners():
                     if partner.vm not in self.down:
-                        self.deliver(member, self.members[partner.vm], pulses)
+                        self.deliver(member, self.members[partner.vm], digests)
         return largest
 
-    def deliver(self, sender, receiver, pulses):
-        needed = receiver.merge_pulses(pulses)
+    def deliver(self, sender, receiver, digests):
+        needed = receiver.merge_digests(digests)
         receiver.merge(sender.by_vm[vm] for vm in needed)
         receiver.merge([sender.own])
 
@@ -53,7 +53,7 @@
 
 def test_size_of_a_message_is_bounded():
     network = Network(60)
-    assert network.run(30) == MAX_PULSES + 1
+    assert network.run(30) == MAX_DIGESTS + 1
     assert all(len(member.by_vm) == 60 for member in network.members.values())
 
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
@@ -314,7 +314,7 @@
             callback(self.fleet)
         for partner in self._membership.table.partners(PUSH_FANOUT):
             self._push_to(partner.peer_address, before)
-        self._membership.spread_own(PUSH_FANOUT)
+        self._membership.announce_now(PUSH_FANOUT)
 
     def _push_to(self, address: str, version: int) -> None:
         revisions = self.chain.since(version)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/drain_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/drain_service.py
@@ -127,7 +127,7 @@
                 )
                 break
             await self._sleep(CHECK_S)
-        await self._ledger.hand_back()
+        await self._ledger.release_lease()
         log_state(self._settings.vm, "drained")
 
     def _apply(self, fleet: Fleet) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
@@ -25,7 +25,7 @@
 )
 from guavabarrow_daemon.peers import Peers
 from guavabarrow_daemon.state_log import log_state
-from guavabarrow_daemon.token_desk import TeamDesk, Waiter
+from guavabarrow_daemon.team_admission import TeamAdmission, Waiter
 
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Fleet
@@ -81,7 +81,7 @@
         self._lease = LeaseRunner(
             settings, table, self._membership, reactor, self._notice_role
         )
-        self._desk_by_team: dict[str, TeamDesk] = {}
+        self._admission_by_team: dict[str, TeamAdmission] = {}
         self._bucket_by_team: dict[str, DomainBucket] = {}
         self._loan_rounds: dict[int, LoanRound] = {}
         self._no_loan_until: dict[str, float] = {}
@@ -111,9 +111,9 @@
         """Give the lease back, so that the successor need not wait."""
         if self._loop.running:
             self._loop.stop()
-        await self.hand_back()
+        await self.release_lease()
 
-    async def hand_back(self) -> None:
+    async def release_lease(self) -> None:
         """Release the lease and take it no more."""
         await self._lease.release()
 
@@ -140,14 +140,14 @@
         if self._settings.policies.rates == "static":
             self._admit_static(team, cost, now)
             return
-        desk = self._desk_by_team.setdefault(team, TeamDesk())
-        if not desk.waiters and desk.cache.spend(cost, now):
+        admission = self._admission_by_team.setdefault(team, TeamAdmission())
+        if not admission.waiters and admission.cache.spend(cost, now):
             return
-        if len(desk.waiters) >= MAX_WAITING:
+        if len(admission.waiters) >= MAX_WAITING:
             raise Overloaded("Too many requests wait for tokens.", retry_after_s=0.5)
         waiter = Waiter(cost, deadline, Deferred())
-        desk.waiters.append(waiter)
-        self._ask(team, desk)
+        admission.waiters.append(waiter)
+        self._ask(team, admission)
         await waiter.turn
 
     def _admit_static(self, team: str, cost: float, now: float) -> None:
@@ -180,18 +180,20 @@
             case GiveLoan():
                 self._on_loan(message)
 
-    def _ask(self, team: str, desk: TeamDesk) -> None:
+    def _ask(self, team: str, admission: TeamAdmission) -> None:
         now = self._reactor.seconds()
         holder = self._find_ledger(team)
-        if holder is None or desk.is_asking(holder.vm, now):
+        if holder is None or admission.is_asking(holder.vm, now):
             return
-        wanted = desk.cache.wanted(desk.waiting_cost, now)
+        wanted = admission.cache.wanted(admission.waiting_cost, now)
         if wanted <= 0:
             return
         self._ask_id += 1
-        desk.note_ask(self._ask_id, holder.vm, now)
-        returned = desk.cache.take_returned()
-        message = AskTokens(desk.ask_id, team, wanted, desk.cache.tokens, returned)
+        admission.note_ask(self._ask_id, holder.vm, now)
+        returned = admission.cache.take_returned()
+        message = AskTokens(
+            admission.ask_id, team, wanted, admission.cache.tokens, returned
+        )
         if holder.vm == self._settings.vm:
             self._on_ask("", message)
         else:
@@ -207,22 +209,26 @@
         return others[names[0]] if names else None
 
     def _on_grant(self, grant: GrantTokens) -> None:
-        desk = self._desk_by_team.get(grant.team)
-        if desk is None or not desk.asking or grant.ask_id != desk.ask_id:
+        admission = self._admission_by_team.get(grant.team)
+        if (
+            admission is None
+            or not admission.asking
+            or grant.ask_id != admission.ask_id
+        ):
             return
         now = self._reactor.seconds()
-        desk.asking = False
+        admission.asking = False
         if not grant.is_holder:
             return
-        expires_at = desk.asked_at + grant.ttl_s
-        desk.cache.add(grant.tokens, expires_at=expires_at, now=now)
+        expires_at = admission.asked_at + grant.ttl_s
+        admission.cache.add(grant.tokens, expires_at=expires_at, now=now)
         self._metrics.tokens.labels("granted").inc(grant.tokens)
-        desk.serve_waiters(now)
+        admission.serve_waiters(now)
         if grant.retry_after_s > 0:
-            refused = desk.refuse_waiters(grant.retry_after_s)
+            refused = admission.refuse_waiters(grant.retry_after_s)
             self._metrics.tokens.labels("refused").inc(refused)
-        elif desk.waiters:
-            self._ask(grant.team, desk)
+        elif admission.waiters:
+            self._ask(grant.team, admission)
 
     def _on_ask(self, reply_to: str, ask: AskTokens) -> None:
         now = self._reactor.seconds()
@@ -349,10 +355,10 @@
     def _tick(self) -> None:
         now = self._reactor.seconds()
         self._lease.tick()
-        for team, desk in list(self._desk_by_team.items()):
-            desk.serve_waiters(now)
-            if desk.waiters:
-                self._ask(team, desk)
+        for team, admission in list(self._admission_by_team.items()):
+            admission.serve_waiters(now)
+            if admission.waiters:
+                self._ask(team, admission)
 
     def _notice_role(self) -> None:
         is_holder = self.is_holder
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/membership_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/membership_service.py
@@ -85,8 +85,8 @@
     def receive(self, reply_to: str, message: object) -> None:
         """Take signs of life over and answer pulls."""
         match message:
-            case Gossip(pulses):
-                needed = self.table.merge_pulses(pulses)
+            case Gossip(digests):
+                needed = self.table.merge_digests(digests)
                 if needed:
                     self._peers.send(reply_to, PullHeartbeats(needed))
             case PullHeartbeats(vms):
@@ -102,7 +102,7 @@
         """Change fields of the own heartbeat from the next beat on."""
         self._changes.update(changes)
 
-    def spread_own(self, count: int) -> None:
+    def announce_now(self, count: int) -> None:
         """Tell some members at once what has changed at this VM."""
         self.table.beat(self._reactor.seconds(), **self._changes)
         self._changes.clear()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/peer_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/peer_messages.py
@@ -6,13 +6,13 @@
 
 from guavabarrow_core.fleet import Fleet
 from guavabarrow_core.fleet_change import Revision
-from guavabarrow_core.membership import Heartbeat, Pulse
+from guavabarrow_core.membership import Heartbeat, HeartbeatDigest
 
 
 class Gossip(msgspec.Struct, tag=True, frozen=True):
     """Signs of life that the sender knows."""
 
-    pulses: list[Pulse]
+    digests: list[HeartbeatDigest]
 
 
 class PullHeartbeats(msgspec.Struct, tag=True, frozen=True):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
@@ -9,8 +9,8 @@
 
 from guavabarrow_core.permits import (
     REGISTRATION_S,
-    PermitBook,
     PermitGrant,
+    PermitTable,
 )
 from guavabarrow_daemon.configuration_service import ConfigurationService
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -22,13 +22,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavabarrow_core.fleet import Target
+    from guavabarrow_core.fleet import Fleet, Target
     from guavabarrow_daemon.settings import Settings
 
 RENEW_S = 1.0
 ASK_TIMEOUT_S = 0.1
-ORPHAN_S = 2.0
-ORPHAN_PERMITS = 1
+NO_LEDGER_S = 2.0
+NO_LEDGER_PERMITS = 1
 
 
 @dataclass(eq=False, slots=True)
@@ -56,7 +56,7 @@
 
 
 class PermitService(Service):
-    """Borrows permits for this VM's pools and keeps the books of its domain.
+    """Borrows permits for this VM's pools and keeps the permit tables of its domain.
 
     Parameters
     ----------
@@ -79,7 +79,8 @@
         self._configuration = kernel.find(ConfigurationService)
         self._ledger = kernel.find(LedgerService)
         self._account_by_target: dict[str, PermitAccount] = {}
-        self._book_by_target: dict[str, PermitBook] = {}
+        self._table_by_target: dict[str, PermitTable] = {}
+        self._budget_by_target: dict[str, int] = {}
         self._holder_since: float | None = None
         self._ask_id = 0
         self._loop = LoopingCall(self._tick)
@@ -87,6 +88,7 @@
 
     async def start(self) -> None:
         """Start to renew permits."""
+        self._configuration.on_change.append(self._apply)
         self._loop.start(ASK_TIMEOUT_S)
 
     async def stop(self) -> None:
@@ -132,14 +134,14 @@
             is_idle = not (wanted or open_now or account.total)
             if not is_idle and now - account.asked_at >= interval_s:
                 self._renew(account)
-            self._adopt_orphan(account, now)
+            self._allow_without_ledger(account, now)
 
-    def _adopt_orphan(self, account: PermitAccount, now: float) -> None:
+    def _allow_without_ledger(self, account: PermitAccount, now: float) -> None:
         """Allow one connection where no ledger is left to ask for permits."""
         _, wanted = account.usage()
-        is_orphan = wanted > 0 and now - account.granted_at > ORPHAN_S
-        if is_orphan and account.total < ORPHAN_PERMITS:
-            account.total = ORPHAN_PERMITS
+        is_cut_off = wanted > 0 and now - account.granted_at > NO_LEDGER_S
+        if is_cut_off and account.total < NO_LEDGER_PERMITS:
+            account.total = NO_LEDGER_PERMITS
             account.on_change()
 
     def _renew(self, account: PermitAccount) -> None:
@@ -178,16 +180,18 @@
     def _on_ask(self, reply_to: str, ask: AskPermits) -> None:
         now = self._reactor.seconds()
         self._notice_role(now)
-        book = self._book(ask.target) if self._holder_since is not None else None
+        table = (
+            self._permit_table(ask.target) if self._holder_since is not None else None
+        )
         grant = PermitGrant(0, 0)
-        if book is not None:
-            grant = book.renew(reply_to, held=ask.held, wanted=ask.wanted, now=now)
+        if table is not None:
+            grant = table.renew(reply_to, held=ask.held, wanted=ask.wanted, now=now)
         message = GrantPermits(
             ask.ask_id,
             ask.target,
             grant.total,
             grant.recall,
-            book is not None,
+            table is not None,
         )
         if reply_to:
             self._peers.send(reply_to, message)
@@ -197,19 +201,26 @@
     def _notice_role(self, now: float) -> None:
         if not self._ledger.is_holder:
             self._holder_since = None
-            self._book_by_target.clear()
+            self._table_by_target.clear()
         elif self._holder_since is None:
             self._holder_since = now
             if self._ledger.is_founder:
                 self._holder_since -= REGISTRATION_S
 
-    def _book(self, target: str) -> PermitBook | None:
-        book = self._book_by_target.get(target)
-        if book is not None or self._holder_since is None:
-            return book
-        for service in self._configuration.fleet.services.values():
-            if any(entry.name == target for entry in service.targets):
-                book = PermitBook(service.connections, self._holder_since)
-                self._book_by_target[target] = book
-                return book
-        return None
+    def _permit_table(self, target: str) -> PermitTable | None:
+        table = self._table_by_target.get(target)
+        budget = self._budget_by_target.get(target)
+        if table is not None or self._holder_since is None or budget is None:
+            return table
+        table = PermitTable(budget, self._holder_since)
+        self._table_by_target[target] = table
+        return table
+
+    def _apply(self, fleet: Fleet) -> None:
+        self._budget_by_target = {
+            target.name: service.connections
+            for service in fleet.services.values()
+            for target in service.targets
+        }
+        for name, table in self._table_by_target.items():
+            table.budget = self._budget_by_target.get(name, 0)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/token_desk.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/team_admission.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True)
-class TeamDesk:
+class TeamAdmission:
     """Tokens and waiting requests of one team at this VM."""
 
     cache: TokenCache = field(default_factory=TokenCache)
@@ -45,6 +45,10 @@
         in_time = now - self.asked_at < ASK_TIMEOUT_S
         return self.asking and in_time and self.asked_vm == holder
 
+    def awaits(self, ask_id: int) -> bool:
+        """Tell whether the answer to this ask still counts."""
+        return self.asking and ask_id == self.ask_id
+
     def note_ask(self, ask_id: int, holder: str, now: float) -> None:
         """Remember the only ask whose answer counts from now on."""
         self.ask_id = ask_id
--- a/tests/features/data_path.feature
+++ b/tests/features/data_path.feature
@@ -8,7 +8,7 @@
 
   Scenario: No acknowledged write is lost when primaries are killed
     Given a fleet whose replicas lag 20 ms
-    And a crowd that writes and reads
+    And a workload that writes and reads
     When the primary is killed and 20 more writes are acknowledged
     And the killed database returns
     And the primary is killed and 20 more writes are acknowledged
@@ -16,14 +16,14 @@
 
   Scenario: A primary that was frozen acknowledges nothing after it was superseded
     Given a fleet whose replicas lag 20 ms
-    And a crowd that writes and reads
+    And a workload that writes and reads
     When the primary is frozen and 20 more writes are acknowledged
     And the frozen database resumes and 20 more writes are acknowledged
     Then every promise held
 
   Scenario: A primary that is cut off from its peers is superseded
     Given a fleet whose replicas lag 20 ms
-    And a crowd that writes and reads
+    And a workload that writes and reads
     When the primary is cut off from the other databases and a later term has a primary
     And 20 more writes are acknowledged
     And the cut is healed and 20 more writes are acknowledged
@@ -31,7 +31,7 @@
 
   Scenario: Promotion while the platform's store is down
     Given a fleet whose replicas lag 20 ms
-    And a crowd that writes and reads
+    And a workload that writes and reads
     When the store goes down
     And the primary is killed and 20 more writes are acknowledged
     And the store comes back
@@ -65,7 +65,7 @@
 
   Scenario: A request that is refused as not run did not run
     Given a fleet whose replicas lag 0 ms
-    And a crowd that writes and reads
+    And a workload that writes and reads
     When two databases are killed until 5 writes are refused
     And the killed databases return and 20 more writes are acknowledged
     Then every promise held
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -55,7 +55,7 @@
 
   Scenario: A failure domain that is taken out gets no new work and no request is cut
     Given a fleet of 6 VMs
-    And a crowd at the VMs of the other domains
+    And a workload at the VMs of the other domains
     When the domain is taken out and 4 s pass
     Then its VMs are not ready and refuse new work as not run
     And its databases get no statement while 20 more writes are acknowledged
@@ -65,14 +65,14 @@
 
   Scenario: A leaving target gets no new work
     Given a fleet of 3 VMs
-    And a crowd at all VMs
+    And a workload at all VMs
     When the primary is marked as leaving and 4 s pass
     Then it gets no statement while 20 more writes are acknowledged
     And no caller was refused
 
   Scenario: A planned stop of a loaded VM cuts no request
     Given a fleet of 3 VMs
-    And a crowd at all VMs that follows refusals to other VMs
+    And a workload at all VMs that follows refusals to other VMs
     When vm-1 gets SIGTERM
     Then it ends with status 0 and no request was cut
 
@@ -101,12 +101,12 @@
 
   Scenario: All VMs are replaced one after the other under load
     Given a fleet of 3 VMs
-    And a crowd at all VMs that follows refusals to other VMs
+    And a workload at all VMs that follows refusals to other VMs
     When each VM is killed and started again in turn
     Then no acknowledged write was lost and none ran twice
 
   Scenario: Scarce connections are shared and never exceeded
     Given a fleet of 3 VMs before databases with 6 connections
-    And a crowd at all VMs
+    And a workload at all VMs
     When 100 more writes are acknowledged
     Then no database had more than 6 connections and no caller was refused
--- a/tests/harness/caller.py
+++ b/tests/harness/caller.py
@@ -1,4 +1,4 @@
-"""A blocking caller that records what it saw, and a crowd of them in threads."""
+"""A blocking caller that records what it saw, and a workload of them in threads."""
 
 from __future__ import annotations
 
@@ -119,7 +119,7 @@
         return self.post(f"/v1/transactions/{transaction}/commit", {}, headers)
 
 
-class Crowd:
+class Workload:
     """Sessions that insert rows and read them back until they are stopped."""
 
     def __init__(
@@ -138,7 +138,7 @@
             for number in range(size)
         ]
 
-    def __enter__(self) -> Crowd:
+    def __enter__(self) -> Workload:
         for thread in self._threads:
             thread.start()
         return self
--- a/tests/harness/world.py
+++ b/tests/harness/world.py
@@ -7,7 +7,7 @@
 
 from guavabarrow_cli.embedded_fleet import Layout, LayoutService, LayoutTeam
 from guavabarrow_core.fleet import OpenRoute
-from harness.caller import SERVICE, Caller, Crowd
+from harness.caller import SERVICE, Caller, Workload
 from harness.process_fleet import ProcessFleet, request, wait_until
 
 if TYPE_CHECKING:
@@ -22,7 +22,7 @@
 class World:
     directory: Path
     fleet: ProcessFleet | None = None
-    crowd: Crowd | None = None
+    workload: Workload | None = None
     facts: dict[str, Any] = field(default_factory=dict)
 
     def start(
@@ -53,8 +53,8 @@
         return self.fleet
 
     def stop(self) -> None:
-        if self.crowd is not None:
-            self.crowd.__exit__()
+        if self.workload is not None:
+            self.workload.__exit__()
         if self.fleet is not None:
             for name in self.fleet.process_by_name:
                 self.fleet.resume(name)
@@ -72,23 +72,25 @@
     def caller(self, team: LayoutTeam = KILIMA, **options: Any) -> Caller:
         return Caller(self.ports, team.key, **options)
 
-    def start_crowd(self, **options: Any) -> Crowd:
+    def start_workload(self, **options: Any) -> Workload:
         ports = options.pop("ports", self.ports)
-        self.crowd = Crowd(ports, KILIMA.key, **options)
-        self.crowd.__enter__()
-        return self.crowd
+        self.workload = Workload(ports, KILIMA.key, **options)
+        self.workload.__enter__()
+        return self.workload
 
     def wait_acknowledged(self, count: int) -> None:
-        assert self.crowd is not None
-        crowd = self.crowd
-        before = crowd.acknowledged
-        wait_until(lambda: crowd.acknowledged >= before + count, f"{count} more writes")
+        assert self.workload is not None
+        workload = self.workload
+        before = workload.acknowledged
+        wait_until(
+            lambda: workload.acknowledged >= before + count, f"{count} more writes"
+        )
 
-    def end_crowd(self) -> Crowd:
-        assert self.crowd is not None
-        crowd, self.crowd = self.crowd, None
-        crowd.__exit__()
-        return crowd
+    def end_workload(self) -> Workload:
+        assert self.workload is not None
+        workload, self.workload = self.workload, None
+        workload.__exit__()
+        return workload
 
     def rows(self) -> list[str]:
         serving = [
--- a/tests/test_broken_vms.py
+++ b/tests/test_broken_vms.py
@@ -18,13 +18,13 @@
 
 
 def judge(world):
-    crowd = world.end_crowd()
-    return promises(crowd.history.check(world.rows()))
+    workload = world.end_workload()
+    return promises(workload.history.check(world.rows()))
 
 
 def test_acknowledging_at_once_loses_writes(world):
     fleet = world.start(lag_ms=300.0, fault="acknowledge_at_once")
-    world.start_crowd()
+    world.start_workload()
     world.wait_acknowledged(100)
     fleet.kill(fleet.primary(SERVICE))
     world.wait_acknowledged(20)
@@ -33,14 +33,14 @@
 
 def test_forgetting_sessions_breaks_read_your_writes(world):
     world.start(lag_ms=100.0, fault="forget_sessions")
-    world.start_crowd()
+    world.start_workload()
     world.wait_acknowledged(100)
     assert Promise.READ_YOUR_WRITES in judge(world)
 
 
 def test_forgetting_ids_runs_writes_twice(world):
     fleet = world.start(fault="forget_ids")
-    world.start_crowd()
+    world.start_workload()
     for _ in range(5):
         fleet.set_database_faults(fleet.primary(SERVICE), lost_answers=3)
         world.wait_acknowledged(20)
@@ -49,31 +49,31 @@
 
 def test_denying_doubt_is_caught(world):
     fleet = world.start(lag_ms=20.0, fault="deny_doubt")
-    crowd = world.start_crowd()
+    workload = world.start_workload()
     world.wait_acknowledged(20)
     primary = fleet.primary(SERVICE)
     others = [n for n in fleet.databases if n.startswith(SERVICE) and n != primary]
-    crowd.deadline_s = 0.3
+    workload.deadline_s = 0.3
     for other in others:
         fleet.set_link(primary, other, frozen=True)
     time.sleep(0.6)
     for other in others:
         fleet.set_link(primary, other, frozen=False)
-    crowd.deadline_s = 15.0
+    workload.deadline_s = 15.0
     world.wait_acknowledged(20)
     assert Promise.NOT_RUN_IS_TRUE in judge(world)
 
 
 def test_believing_any_age_is_caught(world):
     fleet = world.start(lag_ms=20.0, fault="believe_any_age")
-    world.start_crowd()
+    world.start_workload()
     world.wait_acknowledged(20)
     primary = fleet.primary(SERVICE)
     other = next(n for n in fleet.databases if n.startswith(SERVICE) and n != primary)
     fleet.set_link(primary, other, cut=True)
-    before = len(world.crowd.history.reads)
+    before = len(world.workload.history.reads)
     time.sleep(4.0)
-    wait_until(lambda: len(world.crowd.history.reads) > before + 100, "more reads")
+    wait_until(lambda: len(world.workload.history.reads) > before + 100, "more reads")
     assert Promise.STATED_AGE in judge(world)
 
 
--- a/tests/test_data_path.py
+++ b/tests/test_data_path.py
@@ -23,9 +23,9 @@
     world.start(lag_ms=float(lag_ms))
 
 
-@given("a crowd that writes and reads")
+@given("a workload that writes and reads")
 def _(world):
-    world.start_crowd()
+    world.start_workload()
     world.wait_acknowledged(20)
 
 
@@ -135,9 +135,9 @@
 
 @then("every promise held")
 def _(world):
-    crowd = world.end_crowd()
-    assert crowd.history.reads
-    assert crowd.history.check(world.rows()) == []
+    workload = world.end_workload()
+    assert workload.history.reads
+    assert workload.history.check(world.rows()) == []
 
 
 @when("a caller opens a transaction at vm-1, writes, and vm-1 is killed")
@@ -262,13 +262,13 @@
 
 @when("two databases are killed until 5 writes are refused")
 def _(world):
-    crowd = world.crowd
-    crowd.deadline_s = 1.0
+    workload = world.workload
+    workload.deadline_s = 1.0
     victims = [name for name in world.fleet.databases if name.startswith(SERVICE)][:2]
     world.facts["killed"] = victims
     for name in victims:
         world.fleet.kill(name)
-    wait_until(lambda: len(crowd.failures) >= 5, "5 refusals")
+    wait_until(lambda: len(workload.failures) >= 5, "5 refusals")
 
 
 @when("the killed databases return and 20 more writes are acknowledged")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -47,20 +47,20 @@
     world.start(vm_domains=DOMAINS * (count // 3), teams=(KILIMA, MTO, team))
 
 
-@given("a crowd at all VMs")
-@given("a crowd at all VMs that follows refusals to other VMs")
+@given("a workload at all VMs")
+@given("a workload at all VMs that follows refusals to other VMs")
 def _(world):
-    world.start_crowd()
+    world.start_workload()
     world.wait_acknowledged(20)
 
 
-@given("a crowd at the VMs of the other domains")
+@given("a workload at the VMs of the other domains")
 def _(world):
     fleet = world.fleet
     ports = [
         fleet.port_by_name[vm] for vm in fleet.vms if fleet.domain_by_node[vm] != OUT
     ]
-    world.start_crowd(ports=ports)
+    world.start_workload(ports=ports)
     world.wait_acknowledged(20)
 
 
@@ -378,9 +378,9 @@
 @then("no caller of the other domains was refused")
 @then("no caller was refused")
 def _(world):
-    crowd = world.end_crowd()
-    assert crowd.failures == []
-    assert crowd.history.check(world.rows()) == []
+    workload = world.end_workload()
+    assert workload.failures == []
+    assert workload.history.check(world.rows()) == []
 
 
 @when("the domain is brought back")
@@ -423,11 +423,11 @@
 @then("it ends with status 0 and no request was cut")
 def _(world):
     assert world.facts["status"] == 0
-    crowd = world.end_crowd()
-    cut = [w for w in crowd.history.writes if w.ran.value == "outcome_unknown"]
+    workload = world.end_workload()
+    cut = [w for w in workload.history.writes if w.ran.value == "outcome_unknown"]
     assert cut == []
-    assert {answer.body["code"] for answer in crowd.failures} <= {"draining"}
-    assert crowd.history.check(world.rows()) == []
+    assert {answer.body["code"] for answer in workload.failures} <= {"draining"}
+    assert workload.history.check(world.rows()) == []
 
 
 # Partitions -----------------------------------------------------------------
@@ -549,8 +549,8 @@
 
 @then("no acknowledged write was lost and none ran twice")
 def _(world):
-    crowd = world.end_crowd()
-    assert crowd.history.check(world.rows()) == []
+    workload = world.end_workload()
+    assert workload.history.check(world.rows()) == []
 
 
 @given("a fleet of 3 VMs before databases with 6 connections")
@@ -565,9 +565,9 @@
 
 @then("no database had more than 6 connections and no caller was refused")
 def _(world):
-    crowd = world.end_crowd()
+    workload = world.end_workload()
     for database in world.fleet.databases:
         recorded = post(world.fleet.port_by_name[database], "/recorded", {})
         assert recorded["max_sessions"] <= 6
-    assert crowd.failures == []
-    assert crowd.history.check(world.rows()) == []
+    assert workload.failures == []
+    assert workload.history.check(world.rows()) == []
