--- a/packages/guavabarrow-core/src/guavabarrow_core/group_monitor.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/group_monitor.py
@@ -20,6 +20,7 @@
 ISOLATION_S = 1.0
 RANK_DELAY_S = 0.15
 JITTER_S = 0.05
+SETTLE_S = 0.5
 ROUND_TIMEOUT_S = 0.5
 BACKOFF_BASE_S = 0.1
 BACKOFF_LIMIT_S = 2.0
@@ -429,7 +430,7 @@
             return self._give_up(now)
         self._attempt = None
         self.phase = Phase.BACKOFF
-        self._act_at = now + SILENCE_S
+        self._act_at = now + SETTLE_S
         return [
             PromotionEnded(
                 event.database,
