Ship every statement of a transaction

Cause: the stand-in database left statements that were marked as reads out of its log, so a write marked read: true inside a transaction existed at the primary only and was lost with it.

--- a/packages/guavabarrow-cli/src/guavabarrow_cli/standins/database_engine.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/standins/database_engine.py
@@ -202,8 +202,7 @@
             rows = cursor.fetchall()
         except sqlite3.Error as error:
             raise EngineProblem(CODE_STATEMENT_FAILED, str(error)) from error
-        if not message.read:
-            transaction.statements.append((message.sql, message.params))
+        transaction.statements.append((message.sql, message.params))
         transaction.last_result = self._result(cursor, rows)
         return transaction.last_result
 
