Look for the key in the decoded statement

Cause: a caller's key written with JSON escapes passed the check on the raw body and reached the target. Found by reading; the new step failed first (the write was served) and passes now. Change: the check runs on the statement and parameters encoded anew.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
@@ -207,8 +207,6 @@
                 f"The body exceeds {self._settings.limits.max_body_bytes} bytes."
             )
         owner = self._authenticate(key)
-        if key.encode() in body:
-            raise KeyInStatement("The body contains the key; remove it. Not run.")
         fleet = self._configuration.fleet
         request_id = request.getHeader("request-id") or ""
         if request_id:
@@ -223,6 +221,7 @@
             fingerprint=blake2b(
                 request.path + b"\0" + body, digest_size=16
             ).hexdigest(),
+            key=key,
         )
 
     def _authenticate(self, key: str) -> KeyOwner:
@@ -256,11 +255,16 @@
             raise DeadlineExceeded("Deadline-Ms has passed; not run.")
         return min(deadline_ms, limits.max_deadline_ms) / 1000
 
-    def _read_statement(self, request: Request) -> StatementBody:
+    def _read_statement(
+        self, request: Request, context: CallerContext
+    ) -> StatementBody:
         try:
             body = self._body_decoder.decode(request.content.getvalue())
         except msgspec.MsgspecError as error:
             raise BadRequest(f"The body is not a statement: {error}") from error
+        # Encoded anew, so that escapes cannot hide the key.
+        if context.key.encode() in msgspec.json.encode((body.sql, body.params)):
+            raise KeyInStatement("The statement contains the key; remove it. Not run.")
         check_statement(body.sql)
         if body.max_age_ms is not None and not body.max_age_ms >= 0:
             raise BadRequest("max_age_ms must not be negative.")
@@ -283,7 +287,7 @@
         self, request: Request, context: CallerContext, service: str
     ) -> None:
         self._drain.check_new_work()
-        body = self._read_statement(request)
+        body = self._read_statement(request, context)
         if not body.read and not body.idempotent and not context.request_id:
             raise RequestIdRequired(
                 "A write needs a Request-Id header (UUID version 7), so that it "
@@ -348,7 +352,7 @@
     async def _transaction_statement(
         self, request: Request, context: CallerContext, transaction_id: str
     ) -> None:
-        body = self._read_statement(request)
+        body = self._read_statement(request, context)
         await self._admit(context, None)
         message = Execute(sql=body.sql, params=body.params, read=body.read)
         result = await self._transactions.execute(context, transaction_id, message)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_context.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_context.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -78,6 +78,8 @@
         Canonical id, empty if the caller gave none.
     fingerprint : str
         Hash of the request.
+    key : str
+        The caller's key, which must not occur in what is sent to a target.
     """
 
     owner: KeyOwner
@@ -87,6 +89,7 @@
     deadline: float
     request_id: str = ""
     fingerprint: str = ""
+    key: str = field(default="", repr=False)
 
     @property
     def team(self) -> str:
--- a/tests/features/data_path.feature
+++ b/tests/features/data_path.feature
@@ -73,6 +73,7 @@
   Scenario: No target sees a caller's key
     Given a fleet whose replicas lag 0 ms
     When callers write, read, run transactions and put their key into a statement
+    And callers hide their key behind JSON escapes
     Then no database received a key
 
   Scenario: A request runs only for the team whose key came with it
--- a/tests/test_data_path.py
+++ b/tests/test_data_path.py
@@ -293,6 +293,23 @@
     assert answer.body["ran"] == "not_run"
 
 
+@when("callers hide their key behind JSON escapes")
+def _(world):
+    escaped = "".join(f"\\u{ord(character):04x}" for character in KILIMA.key)
+    headers = {
+        "Authorization": f"Bearer {KILIMA.key}",
+        "Request-Id": create_request_id(time.time()),
+    }
+    for body in (
+        f'{{"sql": "INSERT INTO entry VALUES (?)", "params": ["{escaped}"]}}',
+        f'{{"sql": "INSERT INTO entry VALUES (\'{escaped}\')"}}',
+    ):
+        status, answer, _ = request(
+            world.ports[0], "POST", STATEMENTS, body.encode(), headers
+        )
+        assert (status, answer["code"]) == (400, "key_in_statement")
+
+
 @then("no database received a key")
 def _(world):
     seen = 0
