Refuse a passed deadline even if a connection is idle

Cause: after a statement had timed out, its retry took an idle connection although the deadline had passed, and sent the statement for nobody.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/target/pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/target/pool.py
@@ -146,6 +146,8 @@
             If the database refuses connections.
         """
         now = self._reactor.seconds()
+        if now >= deadline:
+            raise _too_late()
         while self.state.idle and not len(self._queue):
             connection = self.state.idle.pop()
             if connection.is_open:
