--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/drain_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/drain_service.py
@@ -126,7 +126,7 @@
                     transactions=len(self._transactions),
                 )
                 break
-            await self._sleep(CHECK_S)
+            await deferLater(self._reactor, CHECK_S)
         await self._ledger.release_lease()
         log_state(self._settings.vm, "drained")
 
@@ -144,13 +144,10 @@
 
     async def _notice(self) -> None:
         self._set(Readiness.NOTICE)
-        await self._sleep(self._settings.drain.notice_ms / 1000)
+        await deferLater(self._reactor, self._settings.drain.notice_ms / 1000)
         if self.readiness is Readiness.NOTICE:
             self._set(Readiness.REFUSING)
 
     def _set(self, readiness: Readiness) -> None:
         self.readiness = readiness
         log_state(self._settings.vm, "readiness_changed", readiness=readiness.value)
-
-    def _sleep(self, duration_s: float) -> Deferred[None]:
-        return deferLater(self._reactor, duration_s, lambda: None)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
@@ -47,7 +47,6 @@
     reply_to: str
     ask: AskTokens
     pending: int
-    asked_at: float
     received: float = 0.0
 
 
@@ -275,7 +274,7 @@
             sent += self._peers.send(lender.peer_address, loan)
         if not sent:
             return False
-        self._loan_rounds[round_id] = LoanRound(reply_to, ask, sent, now)
+        self._loan_rounds[round_id] = LoanRound(reply_to, ask, sent)
         self._reactor.callLater(LOAN_TIMEOUT_S, self._end_round, round_id)
         return True
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/target/pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/target/pool.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.task import deferLater
 
 from guavabarrow_core.exceptions import DeadlineExceeded, GuavabarrowError
 from guavabarrow_core.fair_queue import FairQueue, QueuedItem
@@ -242,7 +243,7 @@
     async def _open(self) -> None:
         wait_s = self._retry_at - self._reactor.seconds()
         if wait_s > 0:
-            await _sleep(self._reactor, wait_s)
+            await deferLater(self._reactor, wait_s)
         host, port = self._address
         try:
             connection = await self._driver.connect(host, port)
@@ -284,9 +285,3 @@
         "No connection to the database was free before the deadline.",
         retry_after_s=CONNECT_BACKOFF_S,
     )
-
-
-def _sleep(reactor: Any, duration_s: float) -> Deferred[None]:
-    done: Deferred[None] = Deferred()
-    reactor.callLater(duration_s, done.callback, None)
-    return done
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/target_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/target_watch.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 
 from guavabarrow_core.group_monitor import ProbeFailed, ReportReceived
 from guavabarrow_core.group_view import DatabaseReport, Role
@@ -86,7 +87,7 @@
                     elapsed_s = self._reactor.seconds() - sent_at
                     is_broken = elapsed_s < WATCH_TIMEOUT_S * 0.9
                     self._group.step(ProbeFailed(self.target.name, is_broken))
-                    await self._sleep(RETRY_S)
+                    await deferLater(self._reactor, RETRY_S)
                 continue
             if not self._running:
                 return
@@ -122,8 +123,3 @@
             received_at=self._reactor.seconds(),
         )
         self._group.step(ReportReceived(report))
-
-    def _sleep(self, duration_s: float) -> Deferred[None]:
-        done: Deferred[None] = Deferred()
-        self._reactor.callLater(duration_s, done.callback, None)
-        return done
