Confirm promotions, age evidence, relay the store, bound statements per target

Now the target itself must say that it leads a newer term. The status holds the term apart from the log's end, which stays in the old term until the first commit. - Promotions begun a second after a cut had healed, and taken back without cause: evidence did not age. One handshake at a time, and a window of statements per target that shrinks on refusals. - Calls of the store and bytes between domains: one VM a domain follows the store.

Ruled out: a leak of connections (pools were empty, all openings in flight).

--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
@@ -174,6 +174,12 @@
         self.heard_at = max(self.heard_at, heard_at)
         return changed
 
+    @property
+    def rows_version(self) -> int:
+        """Version of the newest row up to which all rows are known."""
+        versions = (known.version for known in self.row_by_key.values())
+        return max((v for v in versions if v <= self.version), default=0)
+
     def merge(self, rows: list[VersionedRow], now: float) -> list[VersionedRow]:
         """Take single rows that are newer than the known ones."""
         changed = []
@@ -195,6 +201,23 @@
             if isinstance(known.row, MemberRow)
         }
 
+    def observer(self, zone: str, contacts: frozenset[str]) -> str:
+        """Return the VM of a failure domain that follows the store for the others.
+
+        Parameters
+        ----------
+        zone : str
+            This VM's failure domain.
+        contacts : frozenset of str
+            VMs that were heard lately.
+        """
+        candidates = [
+            member.vm
+            for member in self.member_by_vm().values()
+            if member.zone == zone and member.vm in contacts and not member.is_out
+        ]
+        return min([*candidates, self.vm])
+
     def lead(self, service: str) -> LeadRow | None:
         """Return the row of a service's primary."""
         known = self.row_by_key.get(lead_key(service))
--- a/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
@@ -158,6 +158,18 @@
         if bucket is not None:
             bucket.tokens += 1.0
 
+    def describe(self, team: str) -> str:
+        """Return the inputs of the last decision about a team."""
+        rate = self._rate_by_team.get(team)
+        bucket = self._bucket_by_team.get(team)
+        if rate is None or bucket is None:
+            return f"team={team}"
+        return (
+            f"team={team} rate={rate.per_s:g}/s burst={rate.burst:g} "
+            f"part={self.part(team):.3f} demand={bucket.demand_per_s:.1f}/s "
+            f"heard={len(self._demand_by_vm)} of {self.members - 1}"
+        )
+
     def wait_s(self, team: str) -> float:
         """Return the time until the next token of a team, in s."""
         rate = self._rate_by_team.get(team)
--- a/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
@@ -21,8 +21,9 @@
 CATCH_UP_S = 1.0
 """Longest wait of a planned move for its chosen replica."""
 
-STATUS_PATIENCE_S = 0.3
-"""A replica that doesn't say where its log ends within this time isn't chosen."""
+CONFIRM_LEAD_S = 2.0
+"""Longest wait until a promoted target says that it leads; twice the longest time
+that a deployment states for a promotion."""
 
 
 class PromotionStage(Enum):
@@ -89,6 +90,8 @@
         Whether the old primary still works, so that nothing may be lost.
     candidates : tuple of str
         Replicas that may lead, preferred ones first.
+    is_resumed : bool
+        Whether another VM began it and may have ordered a promotion.
     """
 
     service: str
@@ -96,6 +99,7 @@
     term: int
     is_planned: bool
     candidates: tuple[str, ...]
+    is_resumed: bool = False
     stage: PromotionStage = PromotionStage.MARKING
     chosen_id: str = ""
     started_at: float = 0.0
@@ -123,9 +127,15 @@
         self.compared_at = now
         return [ReadStatuses(self._asked())]
 
+    @property
+    def may_revert(self) -> bool:
+        """Whether the old primary may go on: nothing was ordered yet."""
+        is_early = self.stage is PromotionStage.STOPPING
+        return is_early and not self.is_planned and not self.is_resumed
+
     def on_primary_back(self) -> list[PromotionAction]:
         """Handle that the old primary can be used again; too late once promoting."""
-        if self.is_planned or self.stage is not PromotionStage.STOPPING:
+        if not self.may_revert:
             return []
         self.stage = PromotionStage.REVERTING
         return [Settle(self.old_id, self.term)]
@@ -141,7 +151,7 @@
         if leader is not None:
             self.stage = PromotionStage.SETTLING
             self.chosen_id = leader
-            return [Settle(leader, self.status_by_id[leader].received.term)]
+            return [Settle(leader, self.status_by_id[leader].term)]
         old = status_by_id.get(self.old_id)
         if old is not None and old.is_primary:
             self.final_position = old.received
@@ -153,9 +163,7 @@
             return [ReadStatuses(self._asked())]
         self.chosen_id = chosen
         self.stage = PromotionStage.PROMOTING
-        next_term = max(
-            [self.term, *(s.received.term for s in self.status_by_id.values())]
-        )
+        next_term = max([self.term, *(s.term for s in self.status_by_id.values())])
         return [StopPrimary(self.old_id, next_term + 1), OrderPromotion(chosen)]
 
     def on_promoted(self, term: int) -> list[PromotionAction]:
@@ -187,7 +195,7 @@
     def _leader_elsewhere(self) -> str | None:
         for target_id in self.candidates:
             status = self.status_by_id.get(target_id)
-            if status and status.is_primary and status.received.term > self.term:
+            if status and status.is_primary and status.term > self.term:
                 return target_id
         return None
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/session_messages.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/session_messages.py
@@ -190,6 +190,8 @@
     ----------
     is_primary : bool
         Whether it accepts writes.
+    term : int
+        Newest term that it knows; its log may still end in an older one.
     received : LogPosition
         End of the log that it holds.
     paused_term : int
@@ -201,6 +203,7 @@
     """
 
     is_primary: bool
+    term: int
     received: LogPosition
     paused_term: int = 0
     lag_ms: float = 0.0
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -4,11 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall, deferLater
+from xxhash import xxh3_64_intdigest
 
 from guavabarrow_core.fleet_state import LeadRow, VersionedRow
 from guavabarrow_core.target_directory import TargetDirectory, TargetEntry
+from guavabarrow_daemon.fleet.fleet_messages import UNKNOWN_AGE_S
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -27,8 +30,11 @@
 READ_INTERVAL_S = 1.5
 """Pace of looks at the list; a leaving target has several seconds."""
 
+RELAY_LIMIT_S = 4.0
+"""Age of the list up to which a VM leaves reading it to the holder of the duty."""
+
 TRIM_INTERVAL_S = 0.25
-SUSPECT_S = 1.0
+SUSPECT_S = 0.7
 """Evidence against a target is withdrawn after this long without more of it."""
 
 CONNECTION_RESERVE = 2
@@ -46,6 +52,8 @@
         Pools of targets that were used.
     on_changed : list of callable
         Called after the list changed.
+    change : int
+        Names the present contents of the list.
     """
 
     name = "directory"
@@ -70,6 +78,7 @@
         self._fleet = kernel.find(FleetService)
         self._links = kernel.find(PeerLinks)
         self._suspected: dict[str, tuple[str, float]] = {}
+        self.change = 0
         self._is_stopping = False
         self._problems: set[str] = set()
         self._trims: LoopingCall | None = None
@@ -140,9 +149,11 @@
             return
         if evidence == "lost":
             return
-        if target_id not in self._suspected:
-            log_decision("target_suspected", target=target_id, evidence=evidence)
+        is_new = target_id not in self.suspected()
         self._suspected[target_id] = (evidence, now_s())
+        if is_new:
+            log_decision("target_suspected", target=target_id, evidence=evidence)
+            self._fleet.pulse_now()
 
     def suspected(self) -> dict[str, str]:
         """Return recent evidence by target."""
@@ -153,6 +164,10 @@
             if at > horizon
         }
 
+    def entries(self) -> list[TargetEntry]:
+        """Return all registered targets in the order of their ids."""
+        return [entry for _, entry in sorted(self.directory.entry_by_id.items())]
+
     async def refresh(self) -> None:
         """Read the list once."""
         try:
@@ -163,7 +178,10 @@
         for problem in set(problems) - self._problems:
             log_decision("entry_left_out", problem=problem)
         self._problems = set(problems)
-        changed, gone = self.directory.read(entries, now_s())
+        self._take(entries, 0.0)
+
+    def _take(self, entries: list[TargetEntry], age_s: float) -> None:
+        changed, gone = self.directory.read(entries, now_s() - age_s)
         if not changed and not gone:
             return
         for target_id in changed:
@@ -184,14 +202,41 @@
             pool = self.pool_by_id.pop(target_id, None)
             if pool is not None:
                 pool.shut("The target is gone.")
+        self.change = xxh3_64_intdigest(msgspec.msgpack.encode(self.entries()))
         for callback in self.on_changed:
             callback()
+        self._fleet.pulse_now()
+
+    @property
+    def age_s(self) -> float:
+        """Age of the list, in s."""
+        return min(UNKNOWN_AGE_S, now_s() - self.directory.as_of)
+
+    def take_relayed(self, entries: list[TargetEntry], age_s: float) -> None:
+        """Take the list as another VM read it."""
+        if age_s < self.age_s:
+            self._take(entries, age_s)
+
+    def confirm_relayed(self, age_s: float) -> None:
+        """Take note that another VM read the same list later."""
+        self.directory.as_of = max(self.directory.as_of, now_s() - age_s)
 
     async def _follow(self) -> None:
         while not self._is_stopping:
-            await self.refresh()
+            if not self._is_relayed():
+                await self.refresh()
             await deferLater(self._reactor, READ_INTERVAL_S, lambda: None)
 
+    def _is_relayed(self) -> bool:
+        duty = self._fleet.state.duty()
+        if duty is None or duty.holder == self._fleet.state.vm:
+            return False
+        pulse_age_s, pulse = self._fleet.last_pulse(duty.holder)
+        return (
+            pulse_age_s + pulse.directory_age_s < RELAY_LIMIT_S
+            and self.age_s < RELAY_LIMIT_S
+        )
+
     def _trim(self) -> None:
         for pool in list(self.pool_by_id.values()):
             self._set_limits(pool)
@@ -207,7 +252,7 @@
         members = max(1, len(self._fleet.state.member_by_vm()))
         available = max(1, limits.max_connections - CONNECTION_RESERVE)
         pool.even_part = max(1, available // members)
-        pool.most = max(pool.even_part, min(available, pool.even_part * 3))
+        pool.most = max(pool.even_part, min(available, pool.even_part + 1))
 
     def _on_rows(self, rows: list[VersionedRow]) -> None:
         for row in rows:
@@ -218,6 +263,8 @@
 
     def _fill_pulse(self, fields: dict[str, Any]) -> None:
         fields["suspected"] = self.suspected()
+        fields["directory_age_s"] = round(self.age_s, 3)
+        fields["directory_change"] = self.change
 
     @staticmethod
     def _is_same(known: TargetEntry, entry: TargetEntry) -> bool:
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -0,0 +1,164 @@
+"""Which VM orders promotions, and which VMs others count on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from guavabarrow_core.fleet_state import (
+    DUTY_KEY,
+    DUTY_RIGHT_S,
+    DutyRow,
+    MemberRow,
+    member_key,
+)
+from guavabarrow_core.rendezvous import rank_of
+from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.peer_links import PeerLinks
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.operations.clock import now_s
+from guavabarrow_daemon.operations.decision_log import log_decision
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CHECK_S = 0.1
+OUT_AFTER_S = 2.0
+"""Silence after which a VM is marked as out, so that a later replacement of a
+primary need not wait for it."""
+
+HOLDER_SILENT_S = 1.0
+"""Silence of the holder, beyond the end of contact, after which others step in."""
+
+VACANT_S = 0.1
+TAKEOVER_STEP_S = 0.3
+"""Later candidates for the duty wait this much longer each."""
+
+
+class DutyService(Service):
+    """The duty of ordering promotions.
+
+    Attributes
+    ----------
+    on_check : list of callable
+        Called with the time, regularly, while this VM may act.
+    on_taken : list of callable
+        Called when this VM takes the duty.
+    """
+
+    name = "duty"
+
+    def __init__(self, kernel: Kernel, reactor: Any) -> None:
+        super().__init__(kernel)
+        self.on_check: list[Callable[[float], None]] = []
+        self.on_taken: list[Callable[[], None]] = []
+        self._reactor = reactor
+        self._fleet = kernel.find(FleetService)
+        self._links = kernel.find(PeerLinks)
+        self._silent_since: dict[str, float] = {}
+        self._holder_lost_at: float | None = None
+        self._acts_from = float("inf")
+        self._is_writing = False
+        self._checks: LoopingCall | None = None
+
+    async def start(self) -> None:
+        """Begin to check."""
+        self._checks = LoopingCall(self._check)
+        self._checks.clock = self._reactor
+        self._checks.start(CHECK_S, now=False)
+
+    async def stop(self) -> None:
+        """Stop checking."""
+        if self._checks is not None and self._checks.running:
+            self._checks.stop()
+
+    def may_act(self) -> bool:
+        """Tell whether this VM may order promotions now."""
+        now = now_s()
+        return now >= self._acts_from and self._fleet.state.holds_duty(now)
+
+    async def hand_over(self) -> None:
+        """Give the duty up, so that another VM takes it at once."""
+        if not self._fleet.state.holds_duty(now_s()):
+            return
+        self._acts_from = float("inf")
+        await self._fleet.write(DUTY_KEY, DutyRow("", ""))
+
+    def _check(self) -> None:
+        state = self._fleet.state
+        if state.version == 0 or not state.is_registered():
+            return
+        now = now_s()
+        if not state.holds_duty(now):
+            self._consider(now)
+            return
+        if now < self._acts_from:
+            return
+        self._mark_silent_members(now)
+        for callback in self.on_check:
+            callback(now)
+
+    def _consider(self, now: float) -> None:
+        state = self._fleet.state
+        duty = state.duty()
+        if self._is_writing or self._fleet.is_stopping:
+            return
+        if duty is not None and duty.holder == state.vm:
+            if duty.incarnation != state.incarnation:
+                # The holder was this VM's earlier lifetime, which has ended.
+                self._take(acts_in_s=0.0)
+            return
+        contacts = self._links.contacts()
+        has_holder = duty is not None and bool(duty.holder)
+        if (
+            duty is not None
+            and duty.holder in contacts
+            and self._links.incarnation_of(duty.holder) == duty.incarnation
+        ):
+            self._holder_lost_at = None
+            return
+        if self._holder_lost_at is None:
+            self._holder_lost_at = now
+        rank = rank_of("duty", state.vm, contacts)
+        patience_s = HOLDER_SILENT_S if has_holder else VACANT_S
+        if now - self._holder_lost_at >= patience_s + rank * TAKEOVER_STEP_S:
+            self._take(acts_in_s=DUTY_RIGHT_S if has_holder else 0.0)
+
+    def _take(self, *, acts_in_s: float) -> None:
+        self._is_writing = True
+        state = self._fleet.state
+
+        async def take() -> None:
+            row = DutyRow(state.vm, state.incarnation)
+            written = await self._fleet.write(DUTY_KEY, row)
+            self._is_writing = False
+            self._holder_lost_at = None
+            if written is None or not written.is_applied:
+                return
+            self._acts_from = now_s() + acts_in_s
+            log_decision("duty_taken", version=written.version, acts_in_s=acts_in_s)
+            for callback in self.on_taken:
+                callback()
+
+        Deferred.fromCoroutine(take())
+
+    def _mark_silent_members(self, now: float) -> None:
+        contacts = self._links.contacts()
+        for vm, member in self._fleet.state.member_by_vm().items():
+            if vm == self._fleet.state.vm or vm in contacts or member.is_out:
+                self._silent_since.pop(vm, None)
+                continue
+            since = self._silent_since.setdefault(vm, now)
+            if now - since > OUT_AFTER_S:
+                self._silent_since[vm] = now
+                out = MemberRow(
+                    member.vm,
+                    member.zone,
+                    member.host,
+                    member.port,
+                    member.incarnation,
+                    is_out=True,
+                )
+                Deferred.fromCoroutine(self._fleet.write(member_key(vm), out))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -4,6 +4,11 @@
 
 import msgspec
 
+from guavabarrow_core.target_directory import TargetEntry
+
+UNKNOWN_AGE_S = 1e9
+"""Age of what was never known."""
+
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
     """Who speaks on this connection."""
@@ -12,7 +17,7 @@
     incarnation: str
 
 
-class Pulse(msgspec.Struct, frozen=True, tag="pulse"):
+class Pulse(msgspec.Struct, frozen=True, tag="pulse", omit_defaults=True):
     """Regular sign of life.
 
     Parameters
@@ -23,14 +28,21 @@
         Evidence by target that this VM can't use.
     store_age_s : float
         Age of the shared table as this VM knows it.
-    orders_version : int
-        Version of the operators' table that it knows.
+    rows_version, orders_version : int
+        Versions of the shared and the operators' table that it knows.
+    directory_age_s : float
+        Age of the list of targets as this VM knows it.
+    directory_change : int
+        Names the present contents of the list.
     """
 
     demand_by_team: dict[str, float] = {}
     suspected: dict[str, str] = {}
-    store_age_s: float = 1e9
+    store_age_s: float = UNKNOWN_AGE_S
+    rows_version: int = 0
     orders_version: int = 0
+    directory_age_s: float = UNKNOWN_AGE_S
+    directory_change: int = 0
 
 
 class SharedRow(msgspec.Struct, frozen=True):
@@ -63,13 +75,16 @@
     ----------
     number : int
         Names the request in the answer.
-    fleet_version, orders_version : int
+    rows_version, orders_version : int
         Versions that the sender knows.
+    directory_change : int
+        Contents of the list of targets that the sender knows.
     """
 
     number: int
-    fleet_version: int
+    rows_version: int
     orders_version: int
+    directory_change: int
 
 
 class TableAnswer(msgspec.Struct, frozen=True, tag="tell"):
@@ -84,22 +99,34 @@
     heard_store_s : float
         A store time at which the shared table was as given.
     fleet_version : int
-        Version of the shared table.
+        Version up to which the shared table is known in full.
+    rows_version : int
+        Version of its newest row.
     rows : list of SharedRow
         All rows, empty if the version that the sender knows is the same.
     orders_version : int
-        Version of the operators' table.
+        Version of the newest row of the operators' table.
     orders : list of SharedRow
         All rows, empty if the version that the sender knows is the same.
+    directory_age_s : float
+        Age of the list of targets.
+    directory_change : int
+        Names its contents.
+    targets : list of TargetEntry or None
+        All entries, None if the sender knows the contents.
     """
 
     number: int
     store_s: float
     heard_store_s: float
     fleet_version: int
+    rows_version: int
     rows: list[SharedRow]
     orders_version: int
     orders: list[SharedRow]
+    directory_age_s: float = UNKNOWN_AGE_S
+    directory_change: int = 0
+    targets: list[TargetEntry] | None = None
 
 
 FleetMessage = Hello | Pulse | FleetRows | Stopped | TableRequest | TableAnswer
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -20,8 +20,6 @@
     FleetRows,
     Pulse,
     SharedRow,
-    TableAnswer,
-    TableRequest,
 )
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.fleet.row_codec import decode_row, encode_row
@@ -57,9 +55,14 @@
 RETRY_S = 0.25
 """Pause after the store gave no answer."""
 
-PULSE_S = 0.5
-ASK_AFTER_S = 1.8
-"""Age of the shared table at which other VMs are asked for it."""
+PULSE_S = 0.7
+MIN_PULSE_S = 0.03
+"""Shortest pause between two pulses of which one is sent because of a change."""
+
+RELAY_LIMIT_S = 2.6
+"""Age of the shared table up to which a VM leaves the store to its observer."""
+
+RELAY_CHECK_S = 0.3
 
 
 class FleetService(Service):
@@ -105,11 +108,11 @@
         self._orders = orders
         self._reactor = reactor
         self._orders_version = 0
-        self._order_rows: dict[str, SharedRow] = {}
-        self._heard_store_s = 0.0
+        self.order_row_by_key: dict[str, SharedRow] = {}
+        self.heard_store_s = 0.0
         self._links = kernel.find(PeerLinks)
-        self._ask_number = 0
-        self._asked_at = 0.0
+        self._pulse_by_vm: dict[str, tuple[float, Pulse]] = {}
+        self._pulse_at = 0.0
         self._is_store_reachable: bool | None = None
         self._pulses: LoopingCall | None = None
 
@@ -188,6 +191,9 @@
                 else:
                     await deferLater(self._reactor, RETRY_S, lambda: None)
                 continue
+            if self._is_relayed():
+                await deferLater(self._reactor, RELAY_CHECK_S, lambda: None)
+                continue
             sent_at = now_s()
             try:
                 reading = await self._table.watch(self.state.version, FLEET_WAIT_S)
@@ -224,7 +230,7 @@
         self.clock.observe(store_s=reading.store_s, sent_at=sent_at, received_at=now)
         rows = [decode_row(row.key, row.value, row.version) for row in reading.rows]
         heard_at = max(sent_at, self.clock.earliest_local(reading.store_s))
-        self._heard_store_s = max(self._heard_store_s, reading.store_s)
+        self.heard_store_s = max(self.heard_store_s, reading.store_s)
         changed = self.state.hear(
             rows, reading.version, heard_at=heard_at, now=now, is_full=is_full
         )
@@ -256,6 +262,9 @@
 
     async def _follow_orders(self) -> None:
         while not self.is_stopping:
+            if self._orders_version > 0 and self._is_relayed():
+                await deferLater(self._reactor, RELAY_CHECK_S, lambda: None)
+                continue
             try:
                 orders, reading = await self._look_at_orders()
             except HistoryDropped:
@@ -279,7 +288,7 @@
     ) -> None:
         self._orders_version = max(self._orders_version, version)
         for row in rows:
-            self._order_rows[row.key] = SharedRow(row.key, row.version, row.value)
+            self.order_row_by_key[row.key] = SharedRow(row.key, row.version, row.value)
         if orders is None:
             return
         if orders.evacuated != self.evacuated:
@@ -298,6 +307,58 @@
             metrics.configuration_version.set(newest.version)
         for callback in self.on_orders:
             callback()
+        self.pulse_now()
+
+    @property
+    def orders_row_version(self) -> int:
+        """Version of the newest known row of the operators' table."""
+        return max((row.version for row in self.order_row_by_key.values()), default=0)
+
+    def observer(self) -> str:
+        """Return the VM of the own failure domain that follows the store."""
+        return self.state.observer(self._settings.domain, self._links.contacts())
+
+    def last_pulse(self, vm: str) -> tuple[float, Pulse]:
+        """Return a VM's last pulse and its age in s."""
+        at, pulse = self._pulse_by_vm.get(vm, (float("-inf"), Pulse()))
+        return now_s() - at, pulse
+
+    def hear_relayed(
+        self, rows: list[SharedRow], version: int, rows_version: int, store_s: float
+    ) -> None:
+        """Take the shared table as another VM knows it.
+
+        Parameters
+        ----------
+        rows : list of SharedRow
+            All rows, or none if their newest version is known.
+        version, rows_version : int
+            Version up to which the sender knows all rows, and that of the newest.
+        store_s : float
+            Store time at which the sender read that.
+        """
+        if version < self.state.version:
+            return
+        if not rows and rows_version > self.state.rows_version:
+            return
+        decoded = [decode_row(row.key, row.value, row.version) for row in rows]
+        heard_at = self.clock.earliest_local(store_s)
+        self.heard_store_s = max(self.heard_store_s, store_s)
+        changed = self.state.hear(decoded, version, heard_at=heard_at, now=now_s())
+        self._tell_rows(changed)
+
+    def take_relayed_orders(self, shared: list[SharedRow]) -> None:
+        """Take the operators' table as another VM knows it."""
+        rows = [TableRow(row.key, row.value, row.version) for row in shared]
+        # The next look of this VM's own starts where its own last one ended.
+        self._take_orders(self._orders.decode(rows), rows, self._orders_version)
+
+    def _is_relayed(self) -> bool:
+        observer = self.observer()
+        if observer == self._settings.vm or self.table_age_s() > RELAY_LIMIT_S:
+            return False
+        pulse_age_s, pulse = self.last_pulse(observer)
+        return pulse_age_s + pulse.store_age_s < RELAY_LIMIT_S
 
     def _note_store(self, is_reachable: bool, detail: str = "") -> None:
         if not is_reachable:
@@ -305,17 +366,25 @@
         if is_reachable != self._is_store_reachable:
             self._is_store_reachable = is_reachable
             event = "store_regained" if is_reachable else "store_lost"
-            log_decision(event, detail=detail, table_age_s=self._table_age_s())
+            log_decision(event, detail=detail, table_age_s=self.table_age_s())
 
-    def _table_age_s(self) -> float:
+    def table_age_s(self) -> float:
+        """Return the age of the shared table as known, in s."""
         return round(min(1e9, now_s() - self.state.heard_at), 3)
 
+    def pulse_now(self) -> None:
+        """Tell the other VMs at once that something changed."""
+        if now_s() - self._pulse_at > MIN_PULSE_S:
+            self._pulse()
+
     def _pulse(self) -> None:
-        age_s = self._table_age_s()
+        self._pulse_at = now_s()
+        age_s = self.table_age_s()
         self.kernel.find(SessionMetrics).store_age.set(age_s)
         fields: dict[str, Any] = {
             "store_age_s": age_s,
-            "orders_version": self._orders_version,
+            "rows_version": self.state.rows_version,
+            "orders_version": self.orders_row_version,
         }
         for fill in self.fill_pulse:
             fill(fields)
@@ -325,79 +394,8 @@
     def _on_message(self, vm: str, message: FleetMessage) -> None:
         match message:
             case Pulse():
-                self._consider_asking(vm, message)
+                self._pulse_by_vm[vm] = (now_s(), message)
                 for callback in self.on_pulse:
                     callback(vm, message)
             case FleetRows(rows):
                 self._merge(rows)
-            case TableRequest():
-                self._answer(vm, message)
-            case TableAnswer():
-                self._take_answer(message)
-
-    def _consider_asking(self, vm: str, pulse: Pulse) -> None:
-        now = now_s()
-        own_age_s = self._table_age_s()
-        is_behind = own_age_s > ASK_AFTER_S and pulse.store_age_s < own_age_s - 0.3
-        lacks_orders = pulse.orders_version > self._orders_version and (
-            now - self.store_failed_at < 3.0
-        )
-        if not (is_behind or lacks_orders) or now - self._asked_at < 0.2:
-            return
-        self._asked_at = now
-        self._ask_number += 1
-        request = TableRequest(
-            self._ask_number, self.state.version, self._orders_version
-        )
-        self._links.send(vm, request)
-
-    def _answer(self, vm: str, request: TableRequest) -> None:
-        if not self.clock.is_set or self.state.version == 0:
-            return
-        rows: list[SharedRow] = []
-        if request.fleet_version != self.state.version:
-            rows = [
-                SharedRow(
-                    known.key,
-                    known.version,
-                    None if known.row is None else encode_row(known.row),
-                )
-                for known in self.state.row_by_key.values()
-            ]
-        orders: list[SharedRow] = []
-        if request.orders_version < self._orders_version:
-            orders = list(self._order_rows.values())
-        self._links.send(
-            vm,
-            TableAnswer(
-                number=request.number,
-                store_s=self.clock.latest_store(now_s()),
-                heard_store_s=self._heard_store_s,
-                fleet_version=self.state.version,
-                rows=rows,
-                orders_version=self._orders_version,
-                orders=orders,
-            ),
-        )
-
-    def _take_answer(self, answer: TableAnswer) -> None:
-        now = now_s()
-        if answer.number != self._ask_number or now - self._asked_at > 1.0:
-            return
-        # The answer was made after the request was sent: its store time bounds ours.
-        self.clock.observe(
-            store_s=answer.store_s, sent_at=self._asked_at, received_at=float("inf")
-        )
-        decoded = [decode_row(row.key, row.value, row.version) for row in answer.rows]
-        is_known = answer.fleet_version <= self.state.version or bool(answer.rows)
-        if is_known and answer.fleet_version >= self.state.version:
-            heard_at = self.clock.earliest_local(answer.heard_store_s)
-            self._heard_store_s = max(self._heard_store_s, answer.heard_store_s)
-            self._tell_rows(
-                self.state.hear(
-                    decoded, answer.fleet_version, heard_at=heard_at, now=now
-                )
-            )
-        if answer.orders:
-            rows = [TableRow(r.key, r.value, r.version) for r in answer.orders]
-            self._take_orders(self._orders.decode(rows), rows, answer.orders_version)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
@@ -39,8 +39,8 @@
 """Pause between attempts to reach a VM."""
 
 SILENCE_LIMIT_MS = 1500
-CONTACT_S = 1.6
-"""A VM is in contact if it was heard within three pulses."""
+CONTACT_S = 1.8
+"""A VM is in contact if it was heard within two pulses and a margin."""
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
@@ -0,0 +1,130 @@
+"""Watches the primaries while this VM orders promotions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
+
+from guavabarrow_core.fleet_state import LeadPhase, LeadRow
+from guavabarrow_core.primary_evidence import PrimaryEvidence, ProbeResult
+from guavabarrow_daemon.fleet.directory_service import DirectoryService
+from guavabarrow_daemon.fleet.duty_service import DutyService
+from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.peer_links import PeerLinks
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.operations.clock import now_s
+from guavabarrow_daemon.operations.decision_log import log_decision
+from guavabarrow_daemon.targets.target_questions import (
+    TargetQuestions,
+    TargetUnreachable,
+)
+
+if TYPE_CHECKING:
+    from guavabarrow_core.target_directory import TargetEntry
+    from guavabarrow_daemon.fleet.fleet_messages import Pulse
+
+PROBE_S = 0.6
+"""Pace of probes of a primary that did not answer this VM otherwise."""
+
+SUSPECT_PROBE_S = 0.15
+"""Pace of probes while there is evidence against a primary or it is being replaced."""
+
+IDLE_PROBE_S = 2.0
+"""Pace of probes of a primary that answered the last one."""
+
+
+class PrimaryWatch(Service):
+    """Evidence about each service's primary."""
+
+    name = "primary_watch"
+
+    def __init__(self, kernel: Kernel, reactor: Any) -> None:
+        super().__init__(kernel)
+        self._fleet = kernel.find(FleetService)
+        self._directory = kernel.find(DirectoryService)
+        self._links = kernel.find(PeerLinks)
+        self._duty = kernel.find(DutyService)
+        self._questions = TargetQuestions(self._directory.create_codec, reactor)
+        self._evidence_by_id: dict[str, PrimaryEvidence] = {}
+        self._probing: set[str] = set()
+
+    async def start(self) -> None:
+        """Begin to watch."""
+        self._fleet.on_pulse.append(self._on_pulse)
+        self._duty.on_check.append(self._check)
+
+    def is_lost(self, target_id: str, now: float) -> bool:
+        """Tell whether a primary should be replaced."""
+        evidence = self._evidence(target_id)
+        contacts = self._links.contacts()
+        return evidence.is_lost(now, votes=evidence.votes(now), others=len(contacts))
+
+    def is_back(self, target_id: str, now: float) -> bool:
+        """Tell whether a primary lately answered a probe."""
+        return self._evidence(target_id).is_back(now)
+
+    def describe(self, target_id: str, now: float) -> str:
+        """Return the evidence in words."""
+        evidence = self._evidence(target_id)
+        probe = evidence.probe.value if evidence.probe else "none"
+        age_s = now - evidence.probed_at
+        return f"probe={probe} age_s={age_s:.2f} votes={evidence.votes(now)}"
+
+    def _evidence(self, target_id: str) -> PrimaryEvidence:
+        return self._evidence_by_id.setdefault(target_id, PrimaryEvidence())
+
+    def _on_pulse(self, vm: str, pulse: Pulse) -> None:
+        now = now_s()
+        for known in self._fleet.state.row_by_key.values():
+            if isinstance(known.row, LeadRow):
+                target_id = known.row.primary_id
+                self._evidence(target_id).record_vote(
+                    vm, target_id not in pulse.suspected, now
+                )
+
+    def _check(self, now: float) -> None:
+        primaries = set()
+        for known in list(self._fleet.state.row_by_key.values()):
+            lead = known.row
+            if not isinstance(lead, LeadRow):
+                continue
+            primaries.add(lead.primary_id)
+            entry = self._directory.entry(lead.primary_id)
+            if entry is not None and self._is_due(lead, now):
+                self._probing.add(lead.primary_id)
+                Deferred.fromCoroutine(self._probe(entry))
+        for target_id in set(self._evidence_by_id) - primaries:
+            del self._evidence_by_id[target_id]
+
+    def _is_due(self, lead: LeadRow, now: float) -> bool:
+        target_id = lead.primary_id
+        if target_id in self._probing:
+            return False
+        evidence = self._evidence(target_id)
+        pool = self._directory.pool_by_id.get(target_id)
+        is_suspected = (
+            lead.phase is LeadPhase.MOVING
+            or evidence.votes(now) > 0
+            or target_id in self._directory.suspected()
+        )
+        if is_suspected:
+            return now - evidence.probed_at >= SUSPECT_PROBE_S
+        if pool is not None and pool.is_answering(now):
+            evidence.record_probe(ProbeResult.ANSWERED, now)
+            return False
+        was_good = evidence.probe is ProbeResult.ANSWERED
+        return now - evidence.probed_at >= (IDLE_PROBE_S if was_good else PROBE_S)
+
+    async def _probe(self, entry: TargetEntry) -> None:
+        result = ProbeResult.ANSWERED
+        try:
+            connection = await self._questions.dial(entry)
+            connection.close()
+        except TargetUnreachable as error:
+            result = ProbeResult.REFUSED if error.is_refused else ProbeResult.SILENT
+            log_decision(
+                "primary_probe_failed", target=entry.target_id, detail=str(error)
+            )
+        self._evidence(entry.target_id).record_probe(result, now_s())
+        self._probing.discard(entry.target_id)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -91,6 +91,7 @@
         self._is_read_only = False
         self._has_token = False
         self._transaction: OpenTransaction | None = None
+        self._trail: list[str] = []
 
     async def handle(self, request: StatementRequest) -> list[Answer]:
         """Run one statement and return all of its answers.
@@ -102,6 +103,7 @@
         """
         received_at = now_s()
         self.last_active_at = received_at
+        self._trail = []
         try:
             answers = await self._dispatch(request, received_at)
         except SessionFailure as error:
@@ -257,6 +259,7 @@
             deadline=received_at + route.timeout_s,
             values=self._values,
             session_position=self._position,
+            trail=self._trail,
         )
 
     def _deallocate(self, statement: Statement) -> list[Answer]:
@@ -307,6 +310,8 @@
         detail = error.detail
         if error.retry_after_s is not None:
             detail = f"{detail} retry_after_ms={int(error.retry_after_s * 1000)}"
+        if self._trail:
+            detail = f"{detail} after {' '.join(self._trail)}"
         self._admission.count(self._route, request, code.value, received_at, detail)
         failed = StatementFailed(code, detail)
         if code in (FailureCode.UNAUTHORIZED, FailureCode.UNKNOWN_DATABASE):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
@@ -86,7 +86,7 @@
         if not self._rates.admit(team, now_s()):
             raise SessionFailure(
                 FailureCode.OVERLOADED,
-                "the team is above its rate",
+                f"above its rate: {self._rates.describe(team)}",
                 retry_after_s=self._rates.wait_s(team),
             )
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -42,12 +42,20 @@
 BUSY_PAUSE_S = 0.02
 """Pause before a target that had no slot is asked again; half a statement."""
 
+MAX_HOLD_PART = 0.4
+"""Part of the time limit that a statement may wait for a connection; the rest is for
+the target, and for the caller to try another VM."""
+
 MAX_READ_ATTEMPTS = 5
 BEHIND_PAUSE_S = 0.08
 """A replica that lacked a position is not asked for it again this soon."""
 
 RETRY_ADVICE_S = 0.5
 
+HANDSHAKE_S = 0.03
+"""Cost of a new connection: its slot at the target, a round trip, and the connection
+of another team that it may displace."""
+
 
 @dataclass(slots=True)
 class Work:
@@ -80,6 +88,11 @@
     session_position: LogPosition | None = None
     trail: list[str] = field(default_factory=list)
 
+    @property
+    def hold_until(self) -> float:
+        """Local time until which it may wait for a connection."""
+        return self.deadline - (1.0 - MAX_HOLD_PART) * self.route.timeout_s
+
     @property
     def remaining_s(self) -> float:
         """Time until the deadline, in s."""
@@ -153,7 +166,7 @@
         pool.load.running += 1
         try:
             connection = await pool.acquire(
-                work.team, priority=work.route.priority, deadline=work.deadline
+                work.team, priority=work.route.priority, deadline=work.hold_until
             )
             if at_primary and not self._lead.may_use(
                 work.route.service, pool.entry.target_id
@@ -241,7 +254,7 @@
                 entry, after = await self._choose(work, failed)
                 pool = self._directory.pool(entry)
                 connection = await pool.acquire(
-                    work.team, priority=work.route.priority, deadline=work.deadline
+                    work.team, priority=work.route.priority, deadline=work.hold_until
                 )
             else:
                 pool, connection = await self._acquire_primary(work)
@@ -254,7 +267,13 @@
             data += self._codec.encode_statement("", statement, after=after)
             try:
                 reply = await self._exchange(
-                    work, connection, pool, data, preparations, keeps=True
+                    work,
+                    connection,
+                    pool,
+                    data,
+                    preparations,
+                    keeps=True,
+                    preparations_only=True,
                 )
             except SessionFailure as error:
                 failure = error
@@ -408,9 +427,12 @@
         *,
         is_write: bool = False,
         keeps: bool = False,
+        preparations_only: bool = False,
     ) -> Reply:
         asked_at = now_s()
+        pool.begin_statement()
         sent = connection.send(data, preparations, asked_at)
+        sent.addBoth(_end_statement, pool)
         sent.addTimeout(max(0.01, work.deadline - asked_at), self._reactor)
         role = "primary" if is_write else "any"
         try:
@@ -432,7 +454,11 @@
         now = now_s()
         result = reply.failure.code.value if reply.failure else "completed"
         self._metrics.attempts.labels(role, result).inc()
-        if reply.failure is None or reply.failure.code is not FailureCode.BEHIND:
+        refusal = reply.failure.code if reply.failure else None
+        if refusal is FailureCode.OVERLOADED:
+            pool.window.on_refused()
+        elif refusal is not FailureCode.BEHIND and not preparations_only:
+            pool.window.on_answer(now - asked_at)
             pool.load.record(now - asked_at, now)
         if reply.ready.position is not None and reply.failure is None:
             self._lead.observe(
@@ -452,7 +478,7 @@
             pool = self._directory.pool(entry)
             try:
                 connection = await pool.acquire(
-                    work.team, priority=work.route.priority, deadline=work.deadline
+                    work.team, priority=work.route.priority, deadline=work.hold_until
                 )
             except SessionFailure:
                 if self._lead.may_use(service, entry.target_id):
@@ -521,4 +547,10 @@
         pool = self._directory.pool(entry)
         is_local = entry.zone == self._directory.domain
         expected = pool.load.expected_s(now, is_local=is_local)
-        return expected if pool.has_idle(team) else expected + 0.012
+        expected += pool.wait_s
+        return expected if pool.has_idle(team) else expected + HANDSHAKE_S
+
+
+def _end_statement(result: Any, pool: TargetPool) -> Any:
+    pool.end_statement()
+    return result
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -13,10 +13,13 @@
 from twisted.internet.task import deferLater
 
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
+from guavabarrow_daemon.fleet.duty_service import DutyService
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.lead_service import LeadService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
+from guavabarrow_daemon.fleet.primary_watch import PrimaryWatch
 from guavabarrow_daemon.fleet.promotion_service import PromotionService
+from guavabarrow_daemon.fleet.table_relay import TableRelay
 from guavabarrow_daemon.front.session_admission import SessionAdmission
 from guavabarrow_daemon.front.session_front import SessionFront
 from guavabarrow_daemon.front.session_router import SessionRouter
@@ -123,7 +126,10 @@
                 domain=settings.domain,
             )
         )
+        kernel.register(TableRelay(kernel, reactor))
         kernel.register(LeadService(kernel, reactor))
+        kernel.register(DutyService(kernel, reactor))
+        kernel.register(PrimaryWatch(kernel, reactor))
         kernel.register(PromotionService(kernel, parts.authority, reactor))
         kernel.register(SessionRouter(kernel, reactor))
         kernel.register(SessionAdmission(kernel, settings.vm))
@@ -143,7 +149,8 @@
 
     async def drain(self) -> None:
         """Send callers elsewhere, hand the duty over."""
-        await self.kernel.find(PromotionService).hand_over()
+        if not self.kernel.find(PromotionService).is_busy:
+            await self.kernel.find(DutyService).hand_over()
         await self.kernel.find(SessionFront).drain()
 
     async def stop(self) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_pool.py
@@ -15,6 +15,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 
 from guavabarrow_core.exceptions import SessionFailure
+from guavabarrow_core.send_window import SendWindow
 from guavabarrow_core.session_messages import FailureCode, OpenSession
 from guavabarrow_core.target_choice import TargetLoad
 from guavabarrow_daemon.operations.clock import now_s
@@ -44,9 +45,19 @@
 IDLE_S = 15.0
 """Idle time after which any connection is closed."""
 
+HANDSHAKE_TIMEOUT_S = 2.0
+"""A reachable target that is slow to take a session is full, not gone."""
+
+MAX_OPENING = 1
+"""Handshakes of one VM at a time: each holds a slot of the target, and a storm of them
+leaves none for work."""
+
 MAX_WAITING = 40
 """Longest queue of statements for a connection to one target."""
 
+INITIAL_WINDOW = 3.0
+LARGEST_WINDOW = 8.0
+
 
 @dataclass(slots=True)
 class Waiter:
@@ -87,6 +98,8 @@
     ) -> None:
         self.entry = entry
         self.load = TargetLoad()
+        self.window = SendWindow(LARGEST_WINDOW, INITIAL_WINDOW)
+        self._running = 0
         self.even_part = 1
         self.most = 4
         self.connections: set[TargetConnection] = set()
@@ -115,6 +128,23 @@
         """Tell whether the target answered within the last second."""
         return now - self.load.measured_at < 1.0
 
+    @property
+    def wait_s(self) -> float:
+        """Expected wait of a statement that asks for a connection now, in s."""
+        ahead = len(self._waiters)
+        if not ahead and self.window.allows(self._running):
+            return 0.0
+        return self.window.wait_s(ahead + 1, self.load.response_s)
+
+    def begin_statement(self) -> None:
+        """Count a statement that is sent."""
+        self._running += 1
+
+    def end_statement(self) -> None:
+        """Count a statement that was answered or given up."""
+        self._running -= 1
+        self._serve()
+
     def has_idle(self, team: str) -> bool:
         """Tell whether a connection of a team is idle."""
         return any(connection.team == team for connection in self._idle)
@@ -142,8 +172,15 @@
         if self._is_closed:
             result.errback(_unavailable("The target is gone."))
             return result
-        if len(self._waiters) >= MAX_WAITING:
-            result.errback(_unavailable("Too many statements wait for the target."))
+        wait_s = self.wait_s
+        if len(self._waiters) >= MAX_WAITING or now_s() + wait_s > deadline:
+            result.errback(
+                SessionFailure(
+                    FailureCode.OVERLOADED,
+                    f"Would wait {wait_s:.2f} s: {self._state()}.",
+                    retry_after_s=wait_s,
+                )
+            )
             return result
         self._order += 1
         self._waiters.append(Waiter(team, priority, self._order, deadline, result))
@@ -174,7 +211,9 @@
         for waiter in list(self._waiters):
             if now >= waiter.deadline:
                 self._waiters.remove(waiter)
-                waiter.result.errback(_unavailable("No connection became free."))
+                waiter.result.errback(
+                    _unavailable(f"No connection became free: {self._state()}.")
+                )
         self._serve()
 
     def close_all(self, reason: str) -> None:
@@ -191,28 +230,29 @@
         self._is_closed = True
         self.close_all(reason)
 
+    def _state(self) -> str:
+        return (
+            f"target={self.entry.target_id} open={len(self.connections)} "
+            f"opening={self._opening} idle={len(self._idle)} "
+            f"waiting={len(self._waiters)} limit={self.even_part}-{self.most}"
+        )
+
     def _serve(self) -> None:
         while self._waiters and not self._is_closed:
-            waiter = self._waiters[0]
-            connection = self._take_idle(waiter.team)
-            if connection is not None:
-                self._waiters.pop(0)
+            if not self.window.allows(self._running):
+                return
+            waiter = next((w for w in self._waiters if self.has_idle(w.team)), None)
+            connection = None if waiter is None else self._take_idle(waiter.team)
+            if waiter is not None and connection is not None:
+                self._waiters.remove(waiter)
                 waiter.result.callback(connection)
                 continue
-            other = next((w for w in self._waiters if self.has_idle(w.team)), None)
-            if other is not None and self._opening >= len(self._waiters):
-                self._waiters.remove(other)
-                taken = self._take_idle(other.team)
-                if taken is not None:
-                    other.result.callback(taken)
-                continue
-            if not self._make_room():
+            if self._opening >= min(MAX_OPENING, len(self._waiters)):
                 return
-            if self._opening >= len(self._waiters):
+            if not self._make_room():
                 return
-            team = self._waiters[min(self._opening, len(self._waiters) - 1)].team
             self._opening += 1
-            Deferred.fromCoroutine(self._open(team))
+            Deferred.fromCoroutine(self._open(self._waiters[0].team))
 
     def _take_idle(self, team: str) -> TargetConnection | None:
         for connection in reversed(self._idle):
@@ -251,7 +291,7 @@
         evidence = "answered"
         try:
             await connectProtocol(endpoint, connection)
-            connection.opened.addTimeout(CONNECT_TIMEOUT_S, self._reactor)
+            connection.opened.addTimeout(HANDSHAKE_TIMEOUT_S, self._reactor)
             await connection.opened
             self._count_handshake("opened")
         except TargetRefused as error:
