Refuse hopeless statements at once, return unused tokens, hold fewer connections

A move that takes longer than usual is hopeless: refused at once. - Statements to a target that gives no answer each waited for a connection attempt of their own. One attempt at a time; the others are refused at once. - A VM coming back from a cut took the duty over although the holder lived; the takeover stalled a promotion for 3 s. A VM whose table is old takes nothing over. - Refused operations used up their team's tokens though they reached no target. - After a loss of power targets count the dead VMs' connections for seconds, so that new ones are refused. VMs now close connections that were idle for 1.5 s.

--- a/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
@@ -15,9 +15,9 @@
 MIN_DEMAND_PER_S = 0.5
 """Demand credited to a VM without callers, so that a first caller is admitted."""
 
-FIRST_BURST_PART = 0.3
-"""Part of the burst that a new lifetime starts with: the one before may have spent
-the whole burst within the same window."""
+FIRST_BURST_S = 1.0
+"""A new lifetime starts with at most this many seconds' worth of tokens: the one before
+may have spent the burst within the same window, but none were spent while it was down."""
 
 MIN_BURST = 2.0
 """Smallest burst of a VM; callers of a small team come two at a time."""
@@ -138,7 +138,8 @@
             return True
         bucket = self._bucket_by_team.get(team)
         if bucket is None:
-            first = max(1.0, rate.burst * self.part(team) * FIRST_BURST_PART)
+            burst = min(rate.burst, rate.per_s * FIRST_BURST_S)
+            first = max(MIN_BURST, burst * self.part(team))
             bucket = TeamBucket(tokens=first, filled_at=now, demand_at=now)
             self._bucket_by_team[team] = bucket
         bucket.count_demand(now)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -32,6 +32,9 @@
 HOLDER_SILENT_S = 1.0
 """Silence of the holder, beyond the end of contact, after which others step in."""
 
+MAX_TABLE_AGE_S = 1.6
+"""Age of the shared table above which this VM may itself be cut off."""
+
 VACANT_S = 0.1
 TAKEOVER_STEP_S = 0.3
 """Later candidates for the duty wait this much longer each."""
@@ -110,6 +113,10 @@
                 # The holder was this VM's earlier lifetime, which has ended.
                 self._take(acts_in_s=0.0)
             return
+        if self._fleet.table_age_s() > MAX_TABLE_AGE_S:
+            # A VM that was cut off can't tell whether the holder is silent.
+            self._holder_lost_at = None
+            return
         contacts = self._links.contacts()
         has_holder = duty is not None and bool(duty.holder)
         if (
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/lead_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/lead_service.py
@@ -31,6 +31,9 @@
 """Time that running work has before a planned move breaks it off."""
 
 DRAIN_CHECK_S = 0.01
+USUAL_MOVE_S = 1.6
+"""A replacement with all VMs in reach: up to 1 s for the promotion itself, the rest for
+running work, comparing and settling."""
 
 
 class LeadService(Service):
@@ -54,6 +57,7 @@
         self._history_by_service: dict[str, PrimaryHistory] = {}
         self._running_by_service: dict[str, int] = {}
         self._waiting: dict[str, list[Deferred[None]]] = {}
+        self._moving_since: dict[str, float] = {}
 
     async def start(self) -> None:
         """Listen for marks."""
@@ -76,10 +80,17 @@
         lead = self._fleet.state.lead(service)
         return lead is not None and lead.primary_id == target_id
 
-    def is_moving(self, service: str) -> bool:
-        """Tell whether the primary is being replaced, so that waiting may help."""
+    def move_wait_s(self, service: str) -> float:
+        """Return how long it makes sense to wait for a primary, in s.
+
+        A replacement that takes longer than usual waits for VMs that can't be reached
+        or for the store; then waiting is hopeless.
+        """
         lead = self._fleet.state.lead(service)
-        return lead is not None and lead.phase is LeadPhase.MOVING
+        if lead is None or lead.phase is not LeadPhase.MOVING:
+            return 0.0
+        began_at = self._moving_since.get(service, float("-inf"))
+        return began_at + USUAL_MOVE_S - now_s()
 
     def moving_planned(self, service: str) -> str:
         """Return the primary that running work may still use, empty if none."""
@@ -122,6 +133,7 @@
             if not isinstance(lead, LeadRow):
                 continue
             if lead.phase is LeadPhase.MOVING:
+                self._moving_since[lead.service] = now_s()
                 self._stop_using(lead, row.version)
                 continue
             waiting, self._waiting[lead.service] = (
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -92,6 +92,7 @@
         self._has_token = False
         self._transaction: OpenTransaction | None = None
         self._trail: list[str] = []
+        self._work_in_hand: Work | None = None
 
     async def handle(self, request: StatementRequest) -> list[Answer]:
         """Run one statement and return all of its answers.
@@ -104,6 +105,7 @@
         received_at = now_s()
         self.last_active_at = received_at
         self._trail = []
+        self._work_in_hand = None
         try:
             answers = await self._dispatch(request, received_at)
         except SessionFailure as error:
@@ -233,11 +235,13 @@
                 raise SessionFailure(reply.failure.code, reply.failure.detail)
             return self._answers(request, reply, received_at)
         self._admission.admit(self._team)
+        self._has_token = True
         if writes:
             reply = await self._router.run_write(work, statement, shape)
             self._note_position(True, reply)
         else:
             reply = await self._router.run_read(work, statement, shape)
+        self._has_token = False
         return self._answers(request, reply, received_at)
 
     async def _open(self, work: Work) -> OpenTransaction:
@@ -251,7 +255,7 @@
         route = self._route
         if route is None:
             raise SessionFailure(FailureCode.UNKNOWN_DATABASE, "no route")
-        return Work(
+        self._work_in_hand = Work(
             route=route,
             team=self._team,
             request_id=request.request_id,
@@ -261,6 +265,7 @@
             session_position=self._position,
             trail=self._trail,
         )
+        return self._work_in_hand
 
     def _deallocate(self, statement: Statement) -> list[Answer]:
         if self._values.prepared_by_name.pop(statement.name, None) is None:
@@ -285,6 +290,16 @@
         if self._position is None or position > self._position:
             self._position = position
 
+    def _return_token(self) -> None:
+        """Give the operation's token back if no statement reached a target."""
+        work = self._work_in_hand
+        if not self._has_token or self._transaction is not None:
+            return
+        if work is None or work.has_reached_target:
+            return
+        self._has_token = False
+        self._admission.give_back(self._team)
+
     def _done(self) -> list[Answer]:
         return [Completed(), SessionReady(self.state)]
 
@@ -300,6 +315,7 @@
         self, request: StatementRequest, error: SessionFailure, received_at: float
     ) -> list[Answer]:
         code = error.code
+        self._return_token()
         if self.state is TransactionState.OPEN and code is not FailureCode.MALFORMED:
             kind = request.statement.kind
             is_commit = kind is StatementKind.COMMIT
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -36,9 +36,6 @@
     from guavabarrow_daemon.targets.target_connection import TargetConnection
     from guavabarrow_daemon.targets.target_pool import TargetPool
 
-MOVE_PATIENCE_S = 1.2
-"""Longest wait for a primary that is being replaced."""
-
 BUSY_PAUSE_S = 0.02
 """Pause before a target that had no slot is asked again; half a statement."""
 
@@ -52,6 +49,7 @@
 
 RETRY_ADVICE_S = 0.5
 
+MIN_WAIT_S = 0.005
 HANDSHAKE_S = 0.03
 """Cost of a new connection: its slot at the target, a round trip, and the connection
 of another team that it may displace."""
@@ -77,6 +75,10 @@
         Values of the session.
     session_position : LogPosition or None
         Last commit of the session.
+    trail : list of str
+        What earlier attempts led to.
+    has_reached_target : bool
+        Whether a statement of the caller was sent to a target.
     """
 
     route: Route
@@ -87,6 +89,7 @@
     values: SessionValues
     session_position: LogPosition | None = None
     trail: list[str] = field(default_factory=list)
+    has_reached_target: bool = False
 
     @property
     def hold_until(self) -> float:
@@ -431,6 +434,8 @@
     ) -> Reply:
         asked_at = now_s()
         pool.begin_statement()
+        if not preparations_only:
+            work.has_reached_target = True
         sent = connection.send(data, preparations, asked_at)
         sent.addBoth(_end_statement, pool)
         sent.addTimeout(max(0.01, work.deadline - asked_at), self._reactor)
@@ -490,13 +495,12 @@
 
     async def _await_primary(self, work: Work) -> TargetEntry:
         service = work.route.service
-        until = min(work.deadline, now_s() + MOVE_PATIENCE_S)
         while True:
             entry = self._lead.primary(service)
             if entry is not None:
                 return entry
-            remaining_s = until - now_s()
-            if not self._lead.is_moving(service) or remaining_s <= 0.005:
+            remaining_s = min(work.remaining_s, self._lead.move_wait_s(service))
+            if remaining_s <= MIN_WAIT_S:
                 raise SessionFailure(
                     FailureCode.OVERLOADED,
                     "No primary can be used now.",
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_connection.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_connection.py
@@ -33,9 +33,9 @@
 
     from guavabarrow_daemon.session_codec import TargetCodec
 
-SILENCE_LIMIT_MS = 1500
-"""Unacknowledged bytes for this long end a connection; a few round trips of the
-slowest links, and short against the time limit of statements."""
+SILENCE_LIMIT_MS = 700
+"""Unacknowledged bytes for this long end a connection: two lost packets in a row are
+repaired sooner, and a statement still has time to go elsewhere."""
 
 
 class TargetConnectionLost(GuavabarrowError):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_pool.py
@@ -39,15 +39,20 @@
 FULL_PAUSE_S = 0.06
 """Pause after the target had no connection to give; a few statements' time."""
 
-EXTRA_IDLE_S = 1.0
+EXTRA_IDLE_S = 0.5
 """Idle time after which a connection beyond the even part is closed."""
 
-IDLE_S = 15.0
-"""Idle time after which any connection is closed."""
+IDLE_S = 1.5
+"""Idle time after which any connection is closed. What VMs hold when their machines
+lose power counts against the target's limit for seconds, so they hold little."""
 
 HANDSHAKE_TIMEOUT_S = 2.0
 """A reachable target that is slow to take a session is full, not gone."""
 
+UNREACHABLE_PAUSE_S = 0.25
+"""Pause between attempts to reach a target that gave no answer; statements that ask
+meanwhile are refused at once."""
+
 MAX_OPENING = 1
 """Handshakes of one VM at a time: each holds a slot of the target, and a storm of them
 leaves none for work."""
@@ -112,6 +117,7 @@
         self._opening = 0
         self._order = 0
         self._full_until = 0.0
+        self._unreachable_at: float | None = None
         self._is_closed = False
 
     @property
@@ -172,6 +178,14 @@
         if self._is_closed:
             result.errback(_unavailable("The target is gone."))
             return result
+        if self._is_unreachable():
+            detail = f"The target gave no answer: {self._state()}."
+            result.errback(
+                SessionFailure(
+                    FailureCode.OVERLOADED, detail, retry_after_s=UNREACHABLE_PAUSE_S
+                )
+            )
+            return result
         wait_s = self.wait_s
         if len(self._waiters) >= MAX_WAITING or now_s() + wait_s > deadline:
             result.errback(
@@ -230,6 +244,12 @@
         self._is_closed = True
         self.close_all(reason)
 
+    def _is_unreachable(self) -> bool:
+        if self._unreachable_at is None or self.connections:
+            return False
+        is_recent = now_s() - self._unreachable_at < UNREACHABLE_PAUSE_S
+        return is_recent or self._opening > 0
+
     def _state(self) -> str:
         return (
             f"target={self.entry.target_id} open={len(self.connections)} "
@@ -294,6 +314,7 @@
             connection.opened.addTimeout(HANDSHAKE_TIMEOUT_S, self._reactor)
             await connection.opened
             self._count_handshake("opened")
+            self._unreachable_at = None
         except TargetRefused as error:
             self._count_handshake(error.code.value)
             self._on_refused(error.code)
@@ -341,6 +362,7 @@
             detail=detail,
         )
         self.load.record_failure(now_s())
+        self._unreachable_at = now_s()
         if not self.connections:
             self._fail_waiters("The target can't be reached.")
 
