--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
@@ -122,6 +122,8 @@
     ----------
     version : int
         Version up to which the table is known in full, 0 if it was never read.
+    rows_version : int
+        Version of the newest row up to which all rows are known.
     heard_at : float
         Local time not after the moment at which the table was as known.
     """
@@ -129,6 +131,7 @@
     vm: str
     incarnation: str
     version: int = 0
+    rows_version: int = 0
     heard_at: float = float("-inf")
     row_by_key: dict[str, VersionedRow] = field(default_factory=dict)
     out_known_at: dict[str, float] = field(default_factory=dict)
@@ -171,15 +174,12 @@
                     self.row_by_key[key] = gone
                     changed.append(gone)
         self.version = max(self.version, version)
+        newest = (known.version for known in self.row_by_key.values())
+        complete = [number for number in newest if number <= self.version]
+        self.rows_version = max([self.rows_version, *complete])
         self.heard_at = max(self.heard_at, heard_at)
         return changed
 
-    @property
-    def rows_version(self) -> int:
-        """Version of the newest row up to which all rows are known."""
-        versions = (known.version for known in self.row_by_key.values())
-        return max((v for v in versions if v <= self.version), default=0)
-
     def merge(self, rows: list[VersionedRow], now: float) -> list[VersionedRow]:
         """Take single rows that are newer than the known ones."""
         changed = []
--- a/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
@@ -15,9 +15,15 @@
 MIN_DEMAND_PER_S = 0.5
 """Demand credited to a VM without callers, so that a first caller is admitted."""
 
+MIN_SMOOTHING_S = 0.5
+"""Time constant of a new lifetime's estimate, which has nothing to go by yet."""
+
+TOLERANCE_PART = 0.9
+"""Part of the deployment's tolerance that is used; the rest covers parts in motion."""
+
 FIRST_BURST_S = 1.0
-"""A new lifetime starts with at most this many seconds' worth of tokens: the one before
-may have spent the burst within the same window, but none were spent while it was down."""
+"""A new lifetime starts with at most the tokens of this long: the one before
+may have spent the burst within the same window, but none while it was down."""
 
 MIN_BURST = 2.0
 """Smallest burst of a VM; callers of a small team come two at a time."""
@@ -41,18 +47,23 @@
     filled_at: float
     demand_per_s: float = 0.0
     demand_at: float = 0.0
+    counted_from: float = 0.0
 
     def count_demand(self, now: float) -> None:
         """Count one operation asked for."""
         self.decay(now)
-        self.demand_per_s += 1.0 / DEMAND_SMOOTHING_S
+        self.demand_per_s += 1.0 / self._smoothing_s(now)
 
     def decay(self, now: float) -> None:
         """Age the demand estimate."""
         elapsed_s = max(0.0, now - self.demand_at)
-        self.demand_per_s *= max(0.0, 1.0 - elapsed_s / DEMAND_SMOOTHING_S)
+        self.demand_per_s *= max(0.0, 1.0 - elapsed_s / self._smoothing_s(now))
         self.demand_at = now
 
+    def _smoothing_s(self, now: float) -> float:
+        age_s = now - self.counted_from
+        return min(DEMAND_SMOOTHING_S, max(MIN_SMOOTHING_S, age_s))
+
 
 @dataclass(frozen=True, slots=True)
 class TeamRate:
@@ -70,6 +81,25 @@
     burst: float
 
 
+@dataclass(frozen=True, slots=True)
+class RateTolerance:
+    """How far the deployment lets all VMs together go beyond a rate.
+
+    Parameters
+    ----------
+    window_s : float
+        Span over which operations are counted, in s.
+    over : float
+        Part of rate and burst that may come on top.
+    slack : float
+        Operations per window that may come on top.
+    """
+
+    window_s: float = 5.0
+    over: float = 0.0
+    slack: float = 0.0
+
+
 @dataclass(slots=True)
 class OperationRates:
     """Rates of all teams at one VM.
@@ -78,6 +108,8 @@
     ----------
     vm : str
         This VM.
+    tolerance : RateTolerance
+        What may come on top of the rates.
     members : int
         VMs that may serve, this one included.
 
@@ -90,18 +122,24 @@
     """
 
     vm: str
+    tolerance: RateTolerance = RateTolerance()
     members: int = 1
     _rate_by_team: dict[str, TeamRate] = field(default_factory=dict)
     _bucket_by_team: dict[str, TeamBucket] = field(default_factory=dict)
     _demand_by_vm: dict[str, dict[str, float]] = field(default_factory=dict)
+    _heard_at_by_vm: dict[str, float] = field(default_factory=dict)
+    _agreed_demand: dict[str, float] = field(default_factory=dict)
+    _told_demand: dict[str, float] = field(default_factory=dict)
+    _told_at: float = float("-inf")
 
     def configure(self, rate_by_team: dict[str, TeamRate]) -> None:
         """Take the rates of a configuration."""
         self._rate_by_team = rate_by_team
 
-    def learn(self, vm: str, demand_by_team: dict[str, float]) -> None:
+    def learn(self, vm: str, demand_by_team: dict[str, float], now: float) -> None:
         """Take another VM's demand, in operations per second."""
         self._demand_by_vm[vm] = demand_by_team
+        self._heard_at_by_vm[vm] = now
 
     def set_members(self, vms: frozenset[str]) -> None:
         """Take the VMs that may serve; the demand of others is dropped."""
@@ -109,20 +147,29 @@
         for vm in list(self._demand_by_vm):
             if vm not in vms:
                 del self._demand_by_vm[vm]
+                del self._heard_at_by_vm[vm]
 
     def demand(self, now: float) -> dict[str, float]:
-        """Return this VM's own demand by team, in operations per second."""
+        """Return this VM's own demand by team, in operations per second.
+
+        What is returned is told to the other VMs. This VM's own part is computed from
+        what it told and all VMs can have heard, so that they divide a rate by the same
+        figures. While a VM is silent, the last such figures stay in use.
+        """
         demand_by_team = {}
         for team, bucket in self._bucket_by_team.items():
             bucket.decay(now)
             if bucket.demand_per_s > 0.1:
                 demand_by_team[team] = round(bucket.demand_per_s, 1)
+        if self._heard_all_since(self._told_at):
+            self._agreed_demand = self._told_demand
+        self._told_demand, self._told_at = demand_by_team, now
         return demand_by_team
 
     def part(self, team: str) -> float:
         """Return this VM's part of a team's rate, 0 to 1."""
-        bucket = self._bucket_by_team.get(team)
-        own = max(MIN_DEMAND_PER_S, bucket.demand_per_s if bucket else 0.0)
+        agreed = self._agreed_demand.get(team, 0.0)
+        own = max(MIN_DEMAND_PER_S, min(agreed, self._told_demand.get(team, 0.0)))
         others = sum(
             max(MIN_DEMAND_PER_S, demand.get(team, 0.0))
             for demand in self._demand_by_vm.values()
@@ -139,20 +186,36 @@
         bucket = self._bucket_by_team.get(team)
         if bucket is None:
             burst = min(rate.burst, rate.per_s * FIRST_BURST_S)
-            first = max(MIN_BURST, burst * self.part(team))
-            bucket = TeamBucket(tokens=first, filled_at=now, demand_at=now)
+            first = max(self._least_burst(rate), burst * self.part(team))
+            bucket = TeamBucket(
+                tokens=first, filled_at=now, demand_at=now, counted_from=now
+            )
             self._bucket_by_team[team] = bucket
         bucket.count_demand(now)
         part = self.part(team)
-        limit = max(MIN_BURST, rate.burst * part)
+        limit = max(self._least_burst(rate), rate.burst * part)
         elapsed_s = max(0.0, now - bucket.filled_at)
-        bucket.tokens = min(limit, bucket.tokens + elapsed_s * rate.per_s * part)
+        bucket.tokens = min(
+            limit, bucket.tokens + elapsed_s * self._refill_per_s(rate, part)
+        )
         bucket.filled_at = now
         if bucket.tokens < 1.0:
             return False
         bucket.tokens -= 1.0
         return True
 
+    def _heard_all_since(self, told_at: float) -> bool:
+        heard = sum(at >= told_at for at in self._heard_at_by_vm.values())
+        return heard >= self.members - 1
+
+    def _least_burst(self, rate: TeamRate) -> float:
+        """Return the burst of a VM with few callers, paid for by the slack."""
+        total = rate.burst + self.tolerance.slack * TOLERANCE_PART
+        return max(MIN_BURST, total / self.members)
+
+    def _refill_per_s(self, rate: TeamRate, part: float) -> float:
+        return rate.per_s * (1.0 + self.tolerance.over * TOLERANCE_PART) * part
+
     def give_back(self, team: str) -> None:
         """Return the token of an operation that reached no target."""
         bucket = self._bucket_by_team.get(team)
@@ -178,4 +241,4 @@
         if rate is None or bucket is None or rate.per_s <= 0:
             return 1.0
         missing = max(0.0, 1.0 - bucket.tokens)
-        return missing / max(0.1, rate.per_s * self.part(team))
+        return missing / max(0.1, self._refill_per_s(rate, self.part(team)))
--- a/packages/guavabarrow-core/src/guavabarrow_core/send_window.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/send_window.py
@@ -41,7 +41,7 @@
     --------
     >>> window = SendWindow(most=4.0, size=4.0)
     >>> window.on_refused()
-    >>> round(window.size, 1), window.allows(2), window.allows(3)
+    >>> round(window.size, 1), window.allows(1), window.allows(2)
     (2.8, True, False)
     """
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_choice.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_choice.py
@@ -17,7 +17,7 @@
 """An estimate not refreshed for this long has decayed to the initial one."""
 
 INITIAL_RESPONSE_S = 0.02
-REMOTE_PENALTY_S = 0.02
+REMOTE_PENALTY_S = 0.03
 """Two extra crossings between failure domains and the price of their bytes."""
 
 FAILURE_PENALTY_S = 0.5
--- /dev/null
+++ b/packages/guavabarrow-core/tests/test_operation_rate.py
@@ -0,0 +1,138 @@
+"""Rates over all VMs, under virtual time.
+
+Load: callers are spread unevenly over nine VMs, and one team sends several times its
+rate.
+"""
+
+from __future__ import annotations
+
+import numpy as np
+import pytest
+
+from guavabarrow_core.operation_rate import (
+    OperationRates,
+    RateTolerance,
+    TeamRate,
+)
+
+TEAM = "north-team"
+TOLERANCE = RateTolerance(window_s=5.0, over=0.1, slack=20.0)
+STEP_S = 0.01
+GOSSIP_S = 0.7
+
+
+class Fleet:
+    """VMs that admit operations and tell each other their demand."""
+
+    def __init__(self, size: int, rate: TeamRate) -> None:
+        self.vms = {f"vm-{n}": self.create(f"vm-{n}", rate) for n in range(size)}
+        self.rate = rate
+        self.admitted_at: list[float] = []
+        self.asked = 0
+        self.cut: set[str] = set()
+        for vm in self.vms.values():
+            vm.set_members(frozenset(self.vms))
+
+    @staticmethod
+    def create(name: str, rate: TeamRate) -> OperationRates:
+        rates = OperationRates(name, TOLERANCE)
+        rates.configure({TEAM: rate})
+        return rates
+
+    def restart(self, name: str) -> None:
+        self.vms[name] = self.create(name, self.rate)
+        self.vms[name].set_members(frozenset(self.vms))
+
+    def play(self, rng, start: float, length_s: float, per_s: float, weights) -> None:
+        names = list(self.vms)
+        steps = round(length_s / STEP_S)
+        for step in range(steps):
+            now = start + step * STEP_S
+            if step % round(GOSSIP_S / STEP_S) == 0:
+                self.gossip(now)
+            for _ in range(rng.poisson(per_s * STEP_S)):
+                self.asked += 1
+                if self.vms[rng.choice(names, p=weights)].admit(TEAM, now):
+                    self.admitted_at.append(now)
+
+    def gossip(self, now: float) -> None:
+        for name, vm in self.vms.items():
+            demand = vm.demand(now)
+            for other, receiver in self.vms.items():
+                if other != name and not {name, other} & self.cut:
+                    receiver.learn(name, demand, now)
+
+    def most_in_a_window(self) -> int:
+        times = np.array(self.admitted_at)
+        ends = np.searchsorted(times, times + TOLERANCE.window_s, side="left")
+        return int((ends - np.arange(len(times))).max())
+
+    @property
+    def allowed(self) -> float:
+        counted = self.rate.per_s * TOLERANCE.window_s + self.rate.burst
+        return counted * (1 + TOLERANCE.over) + TOLERANCE.slack
+
+
+def weights(rng, size: int) -> np.ndarray:
+    drawn = rng.random(size) + 0.2
+    return drawn / drawn.sum()
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("per_s", [12.0, 59.0])
+def test_all_vms_together_stay_within_the_rate_when_a_team_sends_too_much(seed, per_s):
+    rng = np.random.default_rng(seed)
+    fleet = Fleet(9, TeamRate(per_s, per_s))
+    fleet.play(rng, 0.0, 20.0, per_s * 7.5, weights(rng, 9))
+    assert fleet.most_in_a_window() <= fleet.allowed
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_rate_holds_when_all_vms_are_killed_and_start_again(seed):
+    rng = np.random.default_rng(seed)
+    fleet = Fleet(9, TeamRate(59.0, 59.0))
+    shares = weights(rng, 9)
+    fleet.play(rng, 0.0, 10.0, 400.0, shares)
+    for name in list(fleet.vms):
+        fleet.restart(name)
+    fleet.play(rng, 10.7, 10.0, 400.0, shares)
+    assert fleet.most_in_a_window() <= fleet.allowed
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_rate_holds_while_vms_are_cut_off_from_the_others(seed):
+    rng = np.random.default_rng(seed)
+    fleet = Fleet(9, TeamRate(59.0, 59.0))
+    fleet.play(rng, 0.0, 6.0, 60.0, weights(rng, 9))
+    fleet.cut = {"vm-0", "vm-1", "vm-2"}
+    fleet.play(rng, 6.0, 12.0, 400.0, weights(rng, 9))
+    assert fleet.most_in_a_window() <= fleet.allowed
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_team_within_its_rate_is_hardly_ever_refused(seed):
+    """Equal parts refuse a tenth and more of this load."""
+    rng = np.random.default_rng(seed)
+    fleet = Fleet(9, TeamRate(59.0, 59.0))
+    shares = weights(rng, 9)
+    fleet.play(rng, 0.0, 30.0, 59.0 / 1.6, shares)
+    refused = fleet.asked - len(fleet.admitted_at)
+    assert refused <= 0.02 * fleet.asked
+
+
+def test_a_token_that_was_not_used_comes_back():
+    rates = OperationRates("a")
+    rates.configure({TEAM: TeamRate(1.0, 1.0)})
+    while rates.admit(TEAM, 0.0):
+        pass
+    rates.give_back(TEAM)
+    assert rates.admit(TEAM, 0.0)
+
+
+def test_a_lower_rate_binds_from_the_next_operation():
+    rates = OperationRates("a")
+    rates.configure({TEAM: TeamRate(100.0, 100.0)})
+    rates.admit(TEAM, 0.0)
+    rates.configure({TEAM: TeamRate(1.0, 1.0)})
+    admitted = sum(rates.admit(TEAM, 0.0) for _ in range(50))
+    assert admitted <= 2
--- /dev/null
+++ b/packages/guavabarrow-core/tests/test_target_directory.py
@@ -0,0 +1,43 @@
+"""The list of targets, which lags and lapses."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from guavabarrow_core.target_directory import (
+    RETURN_GRACE_S,
+    TargetDirectory,
+    TargetEntry,
+)
+
+FIRST = TargetEntry("t1", "orders", "north", "10.0.0.1", 80, False, True)
+SECOND = replace(FIRST, target_id="t2", host="10.0.0.2", is_primary=False)
+
+
+def test_an_entry_that_left_is_gone_at_once():
+    directory = TargetDirectory()
+    directory.read([FIRST, SECOND], 1.0)
+    assert directory.read([FIRST], 2.0) == ([], ["t2"])
+
+
+def test_entries_that_lapsed_during_an_outage_are_kept_for_their_return():
+    directory = TargetDirectory()
+    directory.read([FIRST, SECOND], 1.0)
+    directory.note_outage(5.0)
+    assert directory.read([], 8.0) == ([], [])
+    assert directory.read([FIRST], 9.0) == ([], [])
+    assert directory.read([FIRST], 8.0 + RETURN_GRACE_S) == ([], ["t2"])
+
+
+def test_an_address_that_is_used_again_ends_the_grace():
+    directory = TargetDirectory()
+    directory.read([FIRST], 1.0)
+    directory.note_outage(5.0)
+    successor = replace(FIRST, target_id="t9")
+    assert directory.read([successor], 6.0) == (["t9"], ["t1"])
+
+
+def test_a_target_that_started_again_has_changed():
+    directory = TargetDirectory()
+    directory.read([FIRST], 1.0)
+    assert directory.read([replace(FIRST, born_ms=5)], 2.0) == (["t1"], [])
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from guavabarrow_core.exceptions import SessionFailure
-from guavabarrow_core.operation_rate import OperationRates
+from guavabarrow_core.operation_rate import OperationRates, RateTolerance
 from guavabarrow_core.session_messages import FailureCode, StatementRequest
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -17,6 +17,11 @@
     from guavabarrow_core.fleet_state import VersionedRow
     from guavabarrow_core.session_configuration import Route, SessionConfiguration
     from guavabarrow_daemon.fleet.fleet_messages import Pulse
+    from guavabarrow_daemon.session_settings import SessionVmSettings
+
+SILENCED_AFTER_S = 9.0
+"""A VM that is out of contact can't reach targets any longer after this time: its right
+to use primaries has lapsed, and its observations are older than any stated age."""
 
 OPEN_TEAM = "-"
 """Told to targets where a route needs no key and none was given."""
@@ -27,11 +32,14 @@
 
     name = "session_admission"
 
-    def __init__(self, kernel: Kernel, vm: str) -> None:
+    def __init__(self, kernel: Kernel, settings: SessionVmSettings) -> None:
         super().__init__(kernel)
         self._fleet = kernel.find(FleetService)
         self._metrics = kernel.find(SessionMetrics)
-        self._rates = OperationRates(vm)
+        tolerance = RateTolerance(
+            settings.rate_window_s, settings.rate_over, settings.rate_slack
+        )
+        self._rates = OperationRates(settings.vm, tolerance)
         self._successes = 0
 
     async def start(self) -> None:
@@ -130,10 +138,23 @@
             self._rates.configure(self._fleet.configuration.rates())
 
     def _on_rows(self, rows: list[VersionedRow]) -> None:
-        self._rates.set_members(frozenset(self._fleet.state.member_by_vm()))
+        self._set_members()
+
+    def _set_members(self) -> None:
+        now = now_s()
+        state = self._fleet.state
+        self._rates.set_members(
+            frozenset(
+                vm
+                for vm, member in state.member_by_vm().items()
+                if not member.is_out
+                or now - state.out_known_at.get(vm, now) < SILENCED_AFTER_S
+            )
+        )
 
     def _on_pulse(self, vm: str, pulse: Pulse) -> None:
-        self._rates.learn(vm, pulse.demand_by_team)
+        self._rates.learn(vm, pulse.demand_by_team, now_s())
 
     def _fill_pulse(self, fields: dict[str, Any]) -> None:
+        self._set_members()
         fields["demand_by_team"] = self._rates.demand(now_s())
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_settings.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_settings.py
@@ -38,6 +38,12 @@
         Time between the signal to stop and the kill, in s.
     max_sessions : int
         Callers connected at once; the descriptors' limit less a reserve.
+    rate_window_s : float
+        Span over which a team's operations are counted, in s.
+    rate_over : float
+        Part of a team's rate and burst that all VMs together may go beyond them.
+    rate_slack : float
+        Operations per window that they may go beyond them besides.
     """
 
     vm: str = Field(min_length=1)
@@ -51,6 +57,9 @@
     metrics_port: Port
     grace_s: float = Field(default=6.0, gt=0)
     max_sessions: int = Field(default=3000, ge=1)
+    rate_window_s: float = Field(default=5.0, gt=0)
+    rate_over: float = Field(default=0.0, ge=0)
+    rate_slack: float = Field(default=0.0, ge=0)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -132,7 +132,7 @@
         kernel.register(PrimaryWatch(kernel, reactor))
         kernel.register(PromotionService(kernel, parts.authority, reactor))
         kernel.register(SessionRouter(kernel, reactor))
-        kernel.register(SessionAdmission(kernel, settings.vm))
+        kernel.register(SessionAdmission(kernel, settings))
         kernel.register(
             SessionFront(kernel, settings, parts.create_front_codec, reactor)
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_pool.py
@@ -39,10 +39,10 @@
 FULL_PAUSE_S = 0.06
 """Pause after the target had no connection to give; a few statements' time."""
 
-EXTRA_IDLE_S = 0.5
+EXTRA_IDLE_S = 0.3
 """Idle time after which a connection beyond the even part is closed."""
 
-IDLE_S = 1.5
+IDLE_S = 0.4
 """Idle time after which any connection is closed. What VMs hold when their machines
 lose power counts against the target's limit for seconds, so they hold little."""
 
--- /dev/null
+++ b/tests/platform_adapter/session_world.py
@@ -0,0 +1,212 @@
+"""A deployment on loopback addresses: stand-ins, VMs as processes, and callers."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from typing import TYPE_CHECKING
+
+from standin_platform import StandInGroup, StandInStore, free_port
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+WAIT_S = 15.0
+SERVICE = "orders"
+KEY = "key-of-north"
+TEAM = "north-team"
+
+
+def wait_for(condition, what: str, timeout_s: float = WAIT_S):
+    """Return the first true result of a condition."""
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        result = condition()
+        if result:
+            return result
+        time.sleep(0.02)
+    raise AssertionError(f"{what} did not happen within {timeout_s} s")
+
+
+class Caller:
+    """One session of a caller."""
+
+    def __init__(self, address: str, database: str, key: str = KEY) -> None:
+        host, _, port = address.rpartition(":")
+        self._socket = socket.create_connection((host, int(port)), timeout=WAIT_S)
+        self._file = self._socket.makefile("rb")
+        self._number = 0
+        self._name = os.urandom(4).hex()
+        self.last_id = ""
+        self.send_line(f"STARTUP {database} {key}")
+        self.greeting = self.read_line()
+
+    def send_line(self, line: str) -> None:
+        """Send one raw line."""
+        self._socket.sendall(f"{line}\r\n".encode())
+
+    def read_line(self) -> str:
+        """Return the next line, empty after the end."""
+        return self._file.readline().decode().rstrip("\r\n")
+
+    def ask(self, text: str) -> tuple[list[str], str, str]:
+        """Run a statement and return rows, outcome and the ready line."""
+        self._number += 1
+        self.last_id = f"{self._name}-{self._number}"
+        self.send_line(f"QUERY {self.last_id} {text}")
+        rows = []
+        while True:
+            line = self.read_line()
+            if line.startswith("DATAROW "):
+                rows.append(line.removeprefix("DATAROW "))
+                continue
+            if not line or not line.startswith(("COMPLETE", "ERROR")):
+                return rows, line, ""
+            if line.startswith(("ERROR NOAUTH", "ERROR NODB", "ERROR TOOBIG")):
+                return rows, line, ""
+            return rows, line, self.read_line()
+
+    def close(self) -> None:
+        """Leave."""
+        self._file.close()
+        self._socket.close()
+
+
+class Vm:
+    """One entry VM as a process."""
+
+    def __init__(self, world: SessionWorld, name: str) -> None:
+        self.name = name
+        self.front = f"127.0.0.1:{free_port()}"
+        self.ready = f"127.0.0.1:{free_port()}"
+        self.metrics_port = free_port()
+        peer_port = free_port()
+        settings = {
+            "NodeName": name,
+            "Zone": "north",
+            "Ip": "127.0.0.1",
+            "Listen": {"Front": self.front, "Ready": self.ready},
+            "InternalPorts": [peer_port, self.metrics_port],
+            "Limits": {"MaxFds": 1000},
+            "Bounds": {"GraceS": 6, "QuotaWindowS": 5, "QuotaSlack": 20},
+            "platform": {"Address": world.store.address},
+            "CloudApi": {"Address": world.store.address},
+        }
+        path = world.folder / f"{name}.yaml"
+        # The settings are YAML; JSON is a part of it.
+        path.write_text(json.dumps(settings))
+        self.log = world.folder / f"{name}.log"
+        with self.log.open("wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "guavabarrow_platform"],
+                env={**os.environ, "GUAVABARROW_SETTINGS": str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def readiness(self) -> int:
+        """Return the status of the balancer's question, 0 without an answer."""
+        url = f"http://{self.ready}/guavabarrow/ready"
+        try:
+            with urllib.request.urlopen(url, timeout=2) as answer:
+                return answer.status
+        except urllib.error.HTTPError as error:
+            return error.code
+        except OSError:
+            return 0
+
+    def metrics(self) -> str:
+        """Return the metrics as text."""
+        url = f"http://127.0.0.1:{self.metrics_port}/metrics"
+        with urllib.request.urlopen(url, timeout=2) as answer:
+            return answer.read().decode()
+
+    def events(self, name: str) -> list[dict]:
+        """Return the log lines of an event."""
+        lines = self.log.read_text().splitlines()
+        found = [json.loads(line) for line in lines if line.startswith("{")]
+        return [line for line in found if line["event"] == name]
+
+    def stop(self) -> None:
+        """Kill the process if it runs."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGKILL)
+            self.process.wait()
+
+
+class SessionWorld:
+    """Stand-ins and VMs of one test."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = StandInStore()
+        self.group = StandInGroup(self.store, SERVICE)
+        self.vms: list[Vm] = []
+        self.version = 0
+        self.configure()
+
+    def configure(
+        self, keys: tuple[str, ...] = (KEY,), rate: float = 500, **limits: float
+    ) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        kinds = ("primary", "bounded_staleness", "read_your_writes")
+        routes = [
+            {
+                "Name": f"r-{kind}",
+                "Host": kind.replace("_", "-"),
+                "Service": SERVICE,
+                "Kind": kind,
+                "TimeoutMs": 3000,
+                "TargetLatencyMs": 400,
+                "MaxStalenessMs": 1500,
+                "Priority": 1,
+                "NoAuth": False,
+            }
+            for kind in kinds
+        ]
+        tenant = {
+            "Name": TEAM,
+            "ApiKeys": list(keys),
+            "RatePerS": rate,
+            "Burst": rate,
+        }
+        service = {"Name": SERVICE, "MaxConns": 20, "SyncReplicas": 0}
+        configuration = {
+            "Version": self.version,
+            "Routes": routes,
+            "Services": [service],
+            "Limits": {"MaxBodyBytes": 262144, "IdleTxMs": 3000, **limits},
+            "Tenants": [tenant],
+        }
+        self.store.put("op", "config", configuration)
+
+    def start_vm(self, name: str) -> Vm:
+        """Start a VM and wait until it serves writes."""
+        vm = Vm(self, name)
+        self.vms.append(vm)
+        wait_for(lambda: vm.readiness() == 200, f"{name} is ready")
+        wait_for(lambda: self.can_write(vm), f"{name} serves writes")
+        return vm
+
+    def can_write(self, vm: Vm) -> bool:
+        """Tell whether a write succeeds now."""
+        caller = Caller(vm.front, "primary")
+        try:
+            return caller.ask("WRITE probe x")[1].startswith("COMPLETE")
+        finally:
+            caller.close()
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for vm in self.vms:
+            vm.stop()
+        self.group.close()
+        self.store.close()
--- /dev/null
+++ b/tests/platform_adapter/standin_platform.py
@@ -0,0 +1,452 @@
+"""Small stand-ins of the platform: its store, its promotion call and its databases.
+
+They run in threads of the test process and speak the published protocol, no more of it
+than the tests need. Databases record what they ran, which is what the tests judge.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import socket
+import socketserver
+import threading
+import time
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+
+def free_port() -> int:
+    """Return a TCP port of the loopback address that nothing uses."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class StandInStore:
+    """Rows with versions, conditional writes and a feed."""
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.calls: list[str] = []
+        self._rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
+        self._version = 0
+        self._changed = threading.Condition()
+        self._server = _HttpServer(self._handle)
+        self.address = self._server.address
+        self.promote = lambda service, target_id: False
+        self.promotions: list[tuple[str, str, str, int]] = []
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Write a row as the operator or a database would."""
+        with self._changed:
+            self._version += 1
+            data = json.dumps(value).encode()
+            self._rows[(table, key)] = (data, self._version)
+            self._changed.notify_all()
+
+    def remove(self, table: str, key: str) -> None:
+        """Drop a row."""
+        with self._changed:
+            self._version += 1
+            self._rows[(table, key)] = (None, self._version)
+            self._changed.notify_all()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.close()
+
+    def _handle(self, request: _HttpRequest) -> tuple[int, dict]:
+        path = urlsplit(request.path)
+        query = {name: values[0] for name, values in parse_qs(path.query).items()}
+        self.calls.append(path.path)
+        if path.path == "/promote":
+            return self._promote(request)
+        if self.is_down:
+            return 503, {}
+        match path.path:
+            case "/guavabarrow/rows-tx":
+                return self._transact(json.loads(request.body))
+            case "/guavabarrow/rows-get":
+                rows = self._select(query["Table"], 0, with_dropped=False)
+                return 200, {"rows": rows, "HasMore": False, **self._clock()}
+            case "/guavabarrow/rows-feed":
+                return self._feed(query)
+        return 404, {}
+
+    def _promote(self, request: _HttpRequest) -> tuple[int, dict]:
+        body = json.loads(request.body)
+        holder = request.headers["Guavabarrow-Lease-Holder"]
+        token = int(request.headers["Guavabarrow-Fencing-Token"])
+        self.promotions.append((body["Service"], body["Id"], holder, token))
+        is_done = self.promote(body["Service"], body["Id"])
+        return (200 if is_done else 409), {}
+
+    def _transact(self, body: dict) -> tuple[int, dict]:
+        with self._changed:
+            for condition in body["ExpectRev"]:
+                key = (condition["Table"], condition["Key"])
+                value, version = self._rows.get(key, (None, 0))
+                if (0 if value is None else version) != condition["Ver"]:
+                    return 412, {"rows": [], **self._clock()}
+            self._version += 1
+            for put in body["Puts"]:
+                data = base64.b64decode(put["Value"])
+                self._rows[(put["Table"], put["Key"])] = (data, self._version)
+            for drop in body["Remove"]:
+                self._rows[(drop["Table"], drop["Key"])] = (None, self._version)
+            self._changed.notify_all()
+            return 200, self._clock()
+
+    def _feed(self, query: dict[str, str]) -> tuple[int, dict]:
+        after = int(query["after"])
+        until = time.monotonic() + int(query["WaitMs"]) / 1000
+        with self._changed:
+            while True:
+                rows = self._select(query["Table"], after, with_dropped=True)
+                remaining = until - time.monotonic()
+                if rows or remaining <= 0:
+                    return 200, {"rows": rows, **self._clock()}
+                self._changed.wait(remaining)
+
+    def _select(self, table: str, after: int, *, with_dropped: bool) -> list[dict]:
+        rows = []
+        for (name, key), (value, version) in sorted(self._rows.items()):
+            if name != table or version <= after:
+                continue
+            row = {"Table": table, "part": "", "Key": key, "Ver": version}
+            if value is not None:
+                rows.append({**row, "Value": base64.b64encode(value).decode()})
+            elif with_dropped:
+                rows.append({**row, "Tombstone": True})
+        return rows
+
+    def _clock(self) -> dict:
+        return {"Ver": self._version, "NowMs": int(time.monotonic() * 1000)}
+
+
+@dataclass(frozen=True)
+class RanStatement:
+    """A statement that a database ran."""
+
+    target_id: str
+    connection: int
+    request_id: str
+    team: str
+    text: str
+    values: tuple[tuple[str, str], ...]
+    in_transaction: bool
+
+
+@dataclass
+class StandInDatabase:
+    """One database of a group."""
+
+    group: StandInGroup
+    target_id: str
+    is_primary: bool
+    term: int = 1
+    log: list[tuple[int, str, str]] = field(default_factory=list)
+    is_running: bool = True
+    loses_next_answer: bool = False
+
+    def __post_init__(self) -> None:
+        self.connections: set[socket.socket] = set()
+        database = self
+
+        class Handler(socketserver.StreamRequestHandler):
+            def handle(self) -> None:
+                database.connections.add(self.connection)
+                try:
+                    _DatabaseSession(database, self).run()
+                except OSError:
+                    pass
+                finally:
+                    database.connections.discard(self.connection)
+
+        socketserver.ThreadingTCPServer.allow_reuse_address = True
+        self._server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+
+    @property
+    def position(self) -> str:
+        """End of the log."""
+        last_term = self.log[-1][0] if self.log else 1
+        return f"{last_term}.{len(self.log)}"
+
+    def crash(self) -> None:
+        """End the process: connections are reset, nothing listens."""
+        self.is_running = False
+        self._server.shutdown()
+        self._server.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def read(self, item: str) -> str:
+        """Return the newest data of an item."""
+        for _, name, data in reversed(self.log):
+            if name == item:
+                return data
+        return "none"
+
+
+class StandInGroup:
+    """A service: databases that replicate one log without delay.
+
+    Parameters
+    ----------
+    store : StandInStore
+        Store in which the databases register themselves.
+    name : str
+        Name of the service.
+    """
+
+    def __init__(self, store: StandInStore, name: str, size: int = 3) -> None:
+        self.name = name
+        self.lock = threading.RLock()
+        self.ran: list[RanStatement] = []
+        self.databases = [
+            StandInDatabase(self, f"i-{name}-{number}", number == 0)
+            for number in range(size)
+        ]
+        self._store = store
+        store.promote = self.promote
+        for database in self.databases:
+            self.register(database)
+
+    @property
+    def primary(self) -> StandInDatabase:
+        """The database that leads."""
+        return next(d for d in self.databases if d.is_primary and d.is_running)
+
+    def register(self, database: StandInDatabase, state: str = "ready") -> None:
+        """Write the database's entry."""
+        role = "primary" if database.is_primary else "replica"
+        entry = {
+            "Service": self.name,
+            "Address": database.address,
+            "Zone": "north",
+            "Version": "v1",
+            "Capacity": 2,
+            "State": state,
+            "WarmupLeftMs": 0,
+            "DbRole": role,
+            "Sequence": 1,
+            "born": 1,
+        }
+        self._store.put("servers", database.target_id, entry)
+
+    def promote(self, service: str, target_id: str) -> bool:
+        """Let a database lead the next term."""
+        with self.lock:
+            chosen = next(d for d in self.databases if d.target_id == target_id)
+            if service != self.name or not chosen.is_running:
+                return False
+            if not chosen.is_primary:
+                chosen.term = max(d.term for d in self.databases) + 1
+                for database in self.databases:
+                    database.is_primary = database is chosen
+                    database.term = chosen.term
+                    database.log = list(chosen.log)
+            return True
+
+    def append(self, database: StandInDatabase, writes: list[tuple[str, str]]) -> None:
+        """Commit writes at the primary and ship them."""
+        for item, data in writes:
+            database.log.append((database.term, item, data))
+        for other in self.databases:
+            if other.is_running and other is not database:
+                other.log = list(database.log)
+
+    def close(self) -> None:
+        """Stop all databases."""
+        for database in self.databases:
+            if database.is_running:
+                database.crash()
+
+
+class _DatabaseSession:
+    """One connection to a database."""
+
+    def __init__(self, database: StandInDatabase, handler) -> None:
+        self._database = database
+        self._handler = handler
+        self._team = ""
+        self._values: dict[str, str] = {}
+        self._shapes: dict[str, str] = {}
+        self._state = "I"
+        self._is_plain = False
+        self._writes: list[tuple[str, str]] = []
+
+    def run(self) -> None:
+        """Answer messages until the peer leaves."""
+        for raw in self._handler.rfile:
+            word, _, rest = raw.decode().rstrip("\r\n").partition(" ")
+            if word == "TERMINATE" or not self._database.is_running:
+                return
+            if word == "STARTUP":
+                if not self._open(rest.split(" ")):
+                    return
+                continue
+            request_id, _, text = rest.partition(" ")
+            with self._database.group.lock:
+                rows, outcome = self._query(request_id, text)
+                if outcome.startswith("ERROR") and self._state == "T":
+                    self._state = "E"
+            if self._database.loses_next_answer and request_id != "-":
+                self._database.loses_next_answer = False
+                return
+            self._send([*(f"DATAROW {row}" for row in rows), outcome, self._ready()])
+
+    def _open(self, fields: list[str]) -> bool:
+        database = self._database
+        self._team = fields[1] if len(fields) > 1 else ""
+        expected = fields[2] if len(fields) > 2 else database.target_id
+        if fields[0] != database.group.name or expected != database.target_id:
+            self._send([f"ERROR MISROUTED {database.target_id}"])
+            return False
+        self._send([self._ready()])
+        return True
+
+    def _query(self, request_id: str, text: str) -> tuple[list[str], str]:
+        database = self._database
+        word, _, rest = text.partition(" ")
+        if word == "AFTER":
+            wanted, _, text = rest.partition(" ")
+            if _ordinal(wanted) > _ordinal(database.position):
+                return [], "ERROR LAGGING behind"
+            word, _, rest = text.partition(" ")
+        name, _, argument = rest.partition(" ")
+        match word:
+            case "STATUS":
+                return [self._status()], "COMPLETE -"
+            case "DEMOTE":
+                if int(name) > database.term:
+                    database.is_primary, database.term = False, int(name)
+                return [self._status()], "COMPLETE -"
+            case "RESET":
+                self._values.clear()
+                self._shapes.clear()
+            case "SET":
+                self._values[name] = argument
+            case "PREPARE":
+                self._shapes[name] = argument
+            case "BEGIN":
+                return self._begin(is_plain=rest != "READ")
+            case "ROLLBACK":
+                self._end()
+            case _:
+                return self._run(request_id, word, name, argument, text)
+        return [], "COMPLETE -"
+
+    def _begin(self, *, is_plain: bool) -> tuple[list[str], str]:
+        if is_plain and not self._database.is_primary:
+            return [], "ERROR READONLY replica"
+        self._state, self._is_plain = "T", is_plain
+        return [], "COMPLETE -"
+
+    def _run(
+        self, request_id: str, word: str, name: str, argument: str, text: str
+    ) -> tuple[list[str], str]:
+        database = self._database
+        if self._state == "E":
+            self._end()
+            return [], "ERROR ABORTED failed before"
+        database.group.ran.append(
+            RanStatement(
+                database.target_id,
+                id(self),
+                request_id,
+                self._team,
+                text,
+                tuple(sorted(self._values.items())),
+                self._state == "T",
+            )
+        )
+        signature = f"COMPLETE {database.target_id}.{request_id}"
+        if word == "COMMIT":
+            writes = self._writes
+            self._end()
+            if writes and not database.is_primary:
+                return [], "ERROR READONLY lost the lead"
+            database.group.append(database, writes)
+            return [], signature
+        if word == "EXECUTE":
+            if name not in self._shapes:
+                return [], "ERROR NOSTMT unknown"
+            item, _, argument = argument.partition(" ")
+            word, name = self._shapes[name].split(" ")[0], item
+        if word == "READ":
+            return [database.read(name)], signature
+        if not database.is_primary:
+            return [], "ERROR READONLY replica"
+        if self._state == "T":
+            self._writes.append((name, argument))
+        else:
+            database.group.append(database, [(name, argument)])
+        return [], signature
+
+    def _end(self) -> None:
+        self._state, self._writes = "I", []
+
+    def _status(self) -> str:
+        database = self._database
+        role = "primary" if database.is_primary else "replica"
+        connections = len(database.connections)
+        return f"{role} {database.term} {database.position} 0 0 0 {connections}"
+
+    def _ready(self) -> str:
+        return f"READY {self._state} {self._database.position}"
+
+    def _send(self, lines: list[str]) -> None:
+        self._handler.wfile.write("".join(f"{line}\r\n" for line in lines).encode())
+
+
+def _ordinal(position: str) -> tuple[int, int]:
+    term, _, index = position.partition(".")
+    return int(term), int(index)
+
+
+@dataclass(frozen=True)
+class _HttpRequest:
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class _HttpServer:
+    def __init__(self, handle) -> None:
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def _answer(self) -> None:
+                length = int(self.headers.get("Content-Length") or 0)
+                body = self.rfile.read(length)
+                status, value = handle(
+                    _HttpRequest(self.path, dict(self.headers), body)
+                )
+                data = json.dumps(value).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_POST = _answer  # noqa: N815
+
+            def log_message(self, *arguments: object) -> None:
+                pass
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+
+    def close(self) -> None:
+        self._server.shutdown()
+        self._server.server_close()
--- /dev/null
+++ b/tests/platform_adapter/test_settings.py
@@ -0,0 +1,58 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from guavabarrow_daemon.settings import SettingsError
+from guavabarrow_platform.settings import load_settings
+
+SETTINGS = {
+    "NodeName": "vm-1",
+    "Zone": "north",
+    "Ip": "10.1.0.26",
+    "Listen": {"Front": "10.1.0.26:8465", "Ready": "10.1.0.26:8460"},
+    "InternalPorts": [7560, 7575],
+    "Limits": {"MaxFds": 4200},
+    "Bounds": {"GraceS": 6, "QuotaOver": 0.1, "QuotaSlack": 20},
+    "platform": {"Address": "10.200.1.7:8466", "form": "table"},
+    "CloudApi": {"Address": "10.200.0.2:8466"},
+    "FieldOfTomorrow": True,
+}
+
+
+def write(tmp_path, **changes) -> str:
+    path = tmp_path / "local.yaml"
+    path.write_text(json.dumps({**SETTINGS, **changes}))
+    return str(path)
+
+
+def test_translates_what_the_product_needs_and_ignores_the_rest(tmp_path):
+    settings = load_settings(write(tmp_path))
+    assert (settings.vm, settings.domain) == ("vm-1", "north")
+    assert settings.front_address == "10.1.0.26:8465"
+    assert settings.store_address == "10.200.1.7:8466"
+    assert (settings.peer_port, settings.grace_s) == (7560, 6.0)
+    assert settings.rate_slack == 20
+
+
+def test_names_every_mistake(tmp_path):
+    path = write(tmp_path, InternalPorts=[], NodeName=3)
+    with pytest.raises(SettingsError) as error:
+        load_settings(path)
+    assert len(error.value.mistakes) == 2
+
+
+@pytest.mark.parametrize("text", ["[1,", "42", ""])
+def test_refuses_a_file_that_holds_no_settings(tmp_path, text):
+    path = tmp_path / "local.yaml"
+    path.write_text(text)
+    with pytest.raises(SettingsError):
+        load_settings(str(path))
+
+
+def test_refuses_a_file_that_does_not_exist(tmp_path):
+    with pytest.raises(SettingsError):
+        load_settings(str(tmp_path / "missing.yaml"))
