--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
@@ -16,8 +16,9 @@
 """Bridges outages of the store of a few seconds; also the longest wait for a VM that
 can't be reached before a primary is replaced."""
 
-DUTY_RIGHT_S = 2.5
-"""How long the duty outlives the last answer of the store; two polls and a margin."""
+DUTY_RIGHT_S = 1.6
+"""How long the duty outlives the last answer of the store; two looks of the holder and
+a slow answer. A successor waits as long before it acts."""
 
 
 class LeadPhase(Enum):
--- a/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
@@ -15,6 +15,9 @@
 MIN_DEMAND_PER_S = 0.5
 """Demand credited to a VM without callers, so that a first caller is admitted."""
 
+MIN_CHANGE = 0.2
+"""Part by which a demand must change before it is told again."""
+
 SILENT_S = 1.8
 """A VM that was not heard for two pulses and a margin may be cut off and serving."""
 
@@ -141,11 +144,31 @@
         """Take the rates of a configuration."""
         self._rate_by_team = rate_by_team
 
-    def learn(self, vm: str, demand_by_team: dict[str, float], now: float) -> None:
-        """Take another VM's demand, in operations per second."""
+    def learn(
+        self,
+        vm: str,
+        demand_by_team: dict[str, float],
+        now: float,
+        *,
+        is_full: bool = True,
+    ) -> None:
+        """Take another VM's demand, in operations per second.
+
+        Parameters
+        ----------
+        vm : str
+            The VM.
+        demand_by_team : dict of str to float
+            Its demand.
+        now : float
+            Local time, in s.
+        is_full : bool
+            Whether teams that are missing have none, rather than what they had.
+        """
         if vm not in self.vms:
             return
-        self._demand_by_vm[vm] = demand_by_team
+        known = {} if is_full else self._demand_by_vm.get(vm, {})
+        self._demand_by_vm[vm] = {**known, **demand_by_team}
         self._heard_at_by_vm[vm] = now
 
     def set_members(self, vms: frozenset[str]) -> None:
@@ -171,8 +194,12 @@
         demand_by_team = {}
         for team, bucket in self._bucket_by_team.items():
             bucket.decay(now)
-            if bucket.demand_per_s > 0.1:
-                demand_by_team[team] = round(bucket.demand_per_s, 1)
+            told = self._told_demand.get(team, 0.0)
+            change = abs(bucket.demand_per_s - told)
+            is_news = change >= max(MIN_DEMAND_PER_S, MIN_CHANGE * told)
+            value = round(bucket.demand_per_s, 1) if is_news else told
+            if value > 0.0:
+                demand_by_team[team] = value
         silent = self._find_silent(now)
         if all(
             at >= self._told_at
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -29,14 +29,14 @@
 """Silence after which a VM is marked as out, so that a later replacement of a
 primary need not wait for it."""
 
-HOLDER_SILENT_S = 1.0
+HOLDER_SILENT_S = 0.3
 """Silence of the holder, beyond the end of contact, after which others step in."""
 
 MAX_TABLE_AGE_S = 1.6
 """Age of the shared table above which this VM may itself be cut off."""
 
 VACANT_S = 0.1
-TAKEOVER_STEP_S = 0.3
+TAKEOVER_STEP_S = 0.2
 """Later candidates for the duty wait this much longer each."""
 
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -23,7 +23,9 @@
     Parameters
     ----------
     demand_by_team : dict of str to float
-        Operations per second asked for at this VM.
+        Operations per second asked for at this VM, of teams whose demand changed.
+    is_full : bool
+        Whether teams that are missing have no demand.
     suspected : dict of str to str
         Evidence by target that this VM can't use.
     store_age_s : float
@@ -37,6 +39,7 @@
     """
 
     demand_by_team: dict[str, float] = {}
+    is_full: bool = False
     suspected: dict[str, str] = {}
     store_age_s: float = UNKNOWN_AGE_S
     rows_version: int = 0
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -47,7 +47,10 @@
     )
 
 FLEET_WAIT_S = 1.2
-"""Longest wait of one look at the shared table; half of the duty's right."""
+"""Longest wait of one look at the shared table."""
+
+HOLDER_WAIT_S = 0.5
+"""The same at the holder of the duty, whose right is short."""
 
 ORDERS_WAIT_S = 2.5
 """Longest wait of one look at the operators' table."""
@@ -196,7 +199,8 @@
                 continue
             sent_at = now_s()
             try:
-                reading = await self._table.watch(self.state.version, FLEET_WAIT_S)
+                wait_s = HOLDER_WAIT_S if self._has_duty() else FLEET_WAIT_S
+                reading = await self._table.watch(self.state.version, wait_s)
             except HistoryDropped:
                 log_decision("shared_table_history_dropped", version=self.state.version)
                 if not await self.refresh():
@@ -353,9 +357,17 @@
         # The next look of this VM's own starts where its own last one ended.
         self._take_orders(self._orders.decode(rows), rows, self._orders_version)
 
+    def _has_duty(self) -> bool:
+        duty = self.state.duty()
+        return duty is not None and duty.holder == self._settings.vm
+
     def _is_relayed(self) -> bool:
         observer = self.observer()
-        if observer == self._settings.vm or self.table_age_s() > RELAY_LIMIT_S:
+        if (
+            self._has_duty()
+            or observer == self._settings.vm
+            or self.table_age_s() > RELAY_LIMIT_S
+        ):
             return False
         pulse_age_s, pulse = self.last_pulse(observer)
         return pulse_age_s + pulse.store_age_s < RELAY_LIMIT_S
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
@@ -8,6 +8,7 @@
 from guavabarrow_core.operation_rate import OperationRates, RateTolerance
 from guavabarrow_core.session_messages import FailureCode, StatementRequest
 from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import SUCCESS_SAMPLE, log_decision
@@ -23,6 +24,9 @@
 """A VM that is out of contact can't reach targets any longer after this time: its right
 to use primaries has lapsed, and its observations are older than any stated age."""
 
+FULL_PULSE_EVERY = 8
+"""Every so many pulses all demand is told, whatever was missed."""
+
 OPEN_TEAM = "-"
 """Told to targets where a route needs no key and none was given."""
 
@@ -41,9 +45,12 @@
         )
         self._rates = OperationRates(settings.vm, tolerance)
         self._successes = 0
+        self._pulses = 0
+        self._told_demand: dict[str, float] | None = None
 
     async def start(self) -> None:
         """Follow configuration and the other VMs' demand."""
+        self.kernel.find(PeerLinks).on_peer_up.append(self._on_peer_up)
         self._fleet.on_orders.append(self._on_orders)
         self._fleet.on_pulse.append(self._on_pulse)
         self._fleet.on_rows.append(self._on_rows)
@@ -137,6 +144,10 @@
         if self._fleet.configuration is not None:
             self._rates.configure(self._fleet.configuration.rates())
 
+    def _on_peer_up(self, vm: str) -> None:
+        # A VM that is linked anew knows none of the demand told before.
+        self._told_demand = None
+
     def _on_rows(self, rows: list[VersionedRow]) -> None:
         self._set_members()
 
@@ -153,8 +164,19 @@
         )
 
     def _on_pulse(self, vm: str, pulse: Pulse) -> None:
-        self._rates.learn(vm, pulse.demand_by_team, now_s())
+        self._rates.learn(vm, pulse.demand_by_team, now_s(), is_full=pulse.is_full)
 
     def _fill_pulse(self, fields: dict[str, Any]) -> None:
         self._set_members()
-        fields["demand_by_team"] = self._rates.demand(now_s())
+        demand = self._rates.demand(now_s())
+        self._pulses += 1
+        if self._pulses % FULL_PULSE_EVERY == 0:
+            self._told_demand = None
+        last = self._told_demand or {}
+        fields["is_full"] = self._told_demand is None
+        fields["demand_by_team"] = {
+            team: demand.get(team, 0.0)
+            for team in {*demand, *last}
+            if demand.get(team, 0.0) != last.get(team)
+        }
+        self._told_demand = demand
--- a/tests/platform_adapter/standin_platform.py
+++ b/tests/platform_adapter/standin_platform.py
@@ -137,6 +137,7 @@
     text: str
     values: tuple[tuple[str, str], ...]
     in_transaction: bool
+    at_primary: bool
 
 
 @dataclass
@@ -211,6 +212,7 @@
         self.name = name
         self.lock = threading.RLock()
         self.ran: list[RanStatement] = []
+        self.promotes_after_s = 0.0
         self.databases = [
             StandInDatabase(self, f"i-{name}-{number}", number == 0)
             for number in range(size)
@@ -244,17 +246,21 @@
 
     def promote(self, service: str, target_id: str) -> bool:
         """Let a database lead the next term."""
+        chosen = next(d for d in self.databases if d.target_id == target_id)
+        if service != self.name or not chosen.is_running:
+            return False
+        # The platform answers before the promotion takes effect.
+        threading.Timer(self.promotes_after_s, self._lead, (chosen,)).start()
+        return True
+
+    def _lead(self, chosen: StandInDatabase) -> None:
         with self.lock:
-            chosen = next(d for d in self.databases if d.target_id == target_id)
-            if service != self.name or not chosen.is_running:
-                return False
             if not chosen.is_primary:
                 chosen.term = max(d.term for d in self.databases) + 1
                 for database in self.databases:
                     database.is_primary = database is chosen
                     database.term = chosen.term
                     database.log = list(chosen.log)
-            return True
 
     def append(self, database: StandInDatabase, writes: list[tuple[str, str]]) -> None:
         """Commit writes at the primary and ship them."""
@@ -367,6 +373,7 @@
                 text,
                 tuple(sorted(self._values.items())),
                 self._state == "T",
+                database.is_primary,
             )
         )
         signature = f"COMPLETE {database.target_id}.{request_id}"
--- a/tests/platform_adapter/test_session_vm.py
+++ b/tests/platform_adapter/test_session_vm.py
@@ -118,6 +118,20 @@
     assert token > 0
 
 
+def test_a_promoted_target_is_used_only_once_it_leads(session_world):
+    """The platform's answer came 0.3 s before the effect; reads missed commits."""
+    vm = session_world.start_vm("vm-1")
+    second = session_world.start_vm("vm-2")
+    group = session_world.group
+    group.promotes_after_s = 0.6
+    group.primary.crash()
+    wait_for(lambda: session_world.store.promotions, "a promotion is ordered")
+    callers = [Caller(v.front, "primary") for v in (vm, second) for _ in range(3)]
+    outcomes = [caller.ask("READ a1")[1] for caller in callers]
+    assert any(outcome.startswith("COMPLETE") for outcome in outcomes)
+    assert all(statement.at_primary for statement in group.ran)
+
+
 def test_a_commit_whose_answer_is_lost_is_in_doubt_and_not_repeated(session_world):
     vm = session_world.start_vm("vm-1")
     caller = Caller(vm.front, "primary")
