Split the session router, share one pool of HTTP connections, queue teams fairly

The clients of the two platforms kept idle connections with the same code; it stands once.

Statements that wait for a connection to a target are ordered by priority and then by start-time fair queueing over teams, as in front of the HTTP path's databases; before, in order of arrival, so that a team with many statements could hold up all others.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -19,7 +19,7 @@
     TransactionState,
 )
 from guavabarrow_core.session_values import PreparedShape, SessionValues
-from guavabarrow_daemon.front.session_router import OpenTransaction, SessionRouter, Work
+from guavabarrow_daemon.front.work import OpenTransaction, Work
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 
@@ -28,6 +28,7 @@
     from guavabarrow_core.session_configuration import Route
     from guavabarrow_core.session_messages import Reply
     from guavabarrow_daemon.front.session_admission import SessionAdmission
+    from guavabarrow_daemon.front.session_router import SessionRouter
     from guavabarrow_daemon.session_codec import Answer
 
 PROMISE_CODES = frozenset(
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -7,14 +7,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import TimeoutError
 from twisted.internet.task import deferLater
 
 from guavabarrow_core.exceptions import SessionFailure
-from guavabarrow_core.session_configuration import Consistency, Route
 from guavabarrow_core.session_messages import (
     FailureCode,
     Reply,
@@ -24,93 +22,23 @@
 )
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.lead_service import LeadService
+from guavabarrow_daemon.front.target_chooser import RETRY_ADVICE_S, TargetChooser
+from guavabarrow_daemon.front.target_exchange import TargetExchange
+from guavabarrow_daemon.front.work import OpenTransaction, Work
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
-from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 from guavabarrow_daemon.targets.target_connection import TargetConnectionLost
 
 if TYPE_CHECKING:
     from guavabarrow_core.log_position import LogPosition
-    from guavabarrow_core.session_values import PreparedShape, SessionValues
-    from guavabarrow_core.target_directory import TargetEntry
-    from guavabarrow_daemon.targets.target_connection import TargetConnection
+    from guavabarrow_core.session_values import PreparedShape
     from guavabarrow_daemon.targets.target_pool import TargetPool
 
 BUSY_PAUSE_S = 0.02
 """Pause before a target that had no slot is asked again; half a statement."""
 
-MAX_HOLD_PART = 0.4
-"""Part of the time limit that a statement may wait for a connection; the rest is for
-the target, and for the caller to try another VM."""
-
 MAX_READ_ATTEMPTS = 5
-BEHIND_PAUSE_S = 0.08
-"""A replica that lacked a position is not asked for it again this soon."""
-
-RETRY_ADVICE_S = 0.5
-
-MIN_WAIT_S = 0.005
-HANDSHAKE_S = 0.03
-"""Cost of a new connection: its slot at the target, a round trip, and the connection
-of another team that it may displace."""
-
-
-@dataclass(slots=True)
-class Work:
-    """One statement or transaction under way.
-
-    Parameters
-    ----------
-    route : Route
-        Route in force when it began.
-    team : str
-        Team that it runs for.
-    request_id : str
-        Id of its current statement.
-    began_at : float
-        Local time of its first byte, in s.
-    deadline : float
-        Local time after which its statement is given up, in s.
-    values : SessionValues
-        Values of the session.
-    session_position : LogPosition or None
-        Last commit of the session.
-    trail : list of str
-        What earlier attempts led to.
-    has_reached_target : bool
-        Whether a statement of the caller was sent to a target.
-    """
-
-    route: Route
-    team: str
-    request_id: str
-    began_at: float
-    deadline: float
-    values: SessionValues
-    session_position: LogPosition | None = None
-    trail: list[str] = field(default_factory=list)
-    has_reached_target: bool = False
-
-    @property
-    def hold_until(self) -> float:
-        """Local time until which it may wait for a connection."""
-        return self.deadline - (1.0 - MAX_HOLD_PART) * self.route.timeout_s
-
-    @property
-    def remaining_s(self) -> float:
-        """Time until the deadline, in s."""
-        return self.deadline - now_s()
-
-
-@dataclass(slots=True)
-class OpenTransaction:
-    """A transaction that holds a connection."""
-
-    connection: TargetConnection
-    pool: TargetPool
-    service: str
-    at_primary: bool
-    has_left: bool = False
+"""Targets are three; lagging replicas are asked again."""
 
 
 class SessionRouter(Service):
@@ -121,11 +49,10 @@
     def __init__(self, kernel: Kernel, reactor: Any) -> None:
         super().__init__(kernel)
         self._reactor = reactor
-        self._directory = kernel.find(DirectoryService)
         self._lead = kernel.find(LeadService)
-        self._metrics = kernel.find(SessionMetrics)
-        self._behind_until: dict[str, float] = {}
-        self._codec = self._directory.create_codec()
+        self._chooser = kernel.find(TargetChooser)
+        self._exchange = kernel.find(TargetExchange)
+        self._codec = kernel.find(DirectoryService).create_codec()
 
     # Single statements
 
@@ -142,19 +69,18 @@
         failed: set[str] = set()
         failure = SessionFailure(FailureCode.OVERLOADED, "No target can be used.")
         for _ in range(MAX_READ_ATTEMPTS):
-            entry, after = await self._choose(work, failed)
-            pool = self._directory.pool(entry)
+            pool, after = await self._chooser.choose_reader(work, failed)
             try:
                 return await self._read_once(work, statement, shape, pool, after)
             except SessionFailure as error:
                 failure = error
-                work.trail.append(f"{entry.target_id}:{error.code.value}")
+                work.trail.append(f"{pool.entry.target_id}:{error.code.value}")
             if work.remaining_s <= 0:
                 break
             if failure.code is FailureCode.BEHIND:
-                self._behind_until[entry.target_id] = now_s() + BEHIND_PAUSE_S
+                self._chooser.note_behind(pool.entry.target_id)
             else:
-                failed.add(entry.target_id)
+                failed.add(pool.entry.target_id)
         raise failure
 
     async def _read_once(
@@ -176,14 +102,14 @@
             ):
                 pool.release(connection)
                 raise SessionFailure(FailureCode.BEHIND, "The primary moved.")
-            data, preparations = self._prepare(work, connection, shape)
+            data, preparations = self._exchange.prepare(work, connection, shape)
             data += self._codec.encode_statement(
                 work.request_id,
                 statement,
                 prepared_name=shape.shared_name if shape else "",
                 after=after,
             )
-            reply = await self._exchange(work, connection, pool, data, preparations)
+            reply = await self._exchange.run(work, connection, pool, data, preparations)
         finally:
             pool.load.running -= 1
         if at_primary and not self._lead.may_use(
@@ -205,9 +131,9 @@
             If it did not run, or may have run.
         """
         while True:
-            pool, connection = await self._acquire_primary(work)
+            pool, connection = await self._chooser.acquire_primary(work)
             service = work.route.service
-            data, preparations = self._prepare(work, connection, shape)
+            data, preparations = self._exchange.prepare(work, connection, shape)
             data += self._codec.encode_statement(
                 work.request_id,
                 statement,
@@ -216,7 +142,7 @@
             self._lead.enter(service)
             pool.load.running += 1
             try:
-                reply = await self._exchange(
+                reply = await self._exchange.run(
                     work, connection, pool, data, preparations, is_write=True
                 )
                 is_valid = self._lead.may_use(service, pool.entry.target_id)
@@ -254,22 +180,21 @@
         for _ in range(MAX_READ_ATTEMPTS):
             after = None
             if is_read_only:
-                entry, after = await self._choose(work, failed)
-                pool = self._directory.pool(entry)
+                pool, after = await self._chooser.choose_reader(work, failed)
                 connection = await pool.acquire(
                     work.team, priority=work.route.priority, deadline=work.hold_until
                 )
             else:
-                pool, connection = await self._acquire_primary(work)
+                pool, connection = await self._chooser.acquire_primary(work)
             target_id = pool.entry.target_id
             service = work.route.service
             if after is None and not self._lead.may_use(service, target_id):
                 pool.release(connection)
                 continue
-            data, preparations = self._prepare(work, connection, None)
+            data, preparations = self._exchange.prepare(work, connection, None)
             data += self._codec.encode_statement("", statement, after=after)
             try:
-                reply = await self._exchange(
+                reply = await self._exchange.run(
                     work,
                     connection,
                     pool,
@@ -290,12 +215,12 @@
                     self._lead.enter(service)
                 return transaction
             if connection.is_open:
-                self._give_back(connection, pool)
+                self._exchange.give_back(connection, pool)
             code = reply.failure.code if reply.failure else FailureCode.FAILED
             work.trail.append(f"{target_id}:{code.value}")
             failure = SessionFailure(FailureCode.OVERLOADED, f"No transaction: {code}.")
             if code is FailureCode.BEHIND:
-                self._behind_until[target_id] = now_s() + BEHIND_PAUSE_S
+                self._chooser.note_behind(target_id)
             elif code is FailureCode.OVERLOADED and work.remaining_s > 0.1:
                 await deferLater(self._reactor, BUSY_PAUSE_S, lambda: None)
             else:
@@ -330,14 +255,14 @@
                 "The connection of the transaction is gone; it is rolled back.",
                 retry_after_s=RETRY_ADVICE_S,
             )
-        data, preparations = self._prepare(work, connection, shape)
+        data, preparations = self._exchange.prepare(work, connection, shape)
         data += self._codec.encode_statement(
             work.request_id,
             statement,
             prepared_name=shape.shared_name if shape else "",
         )
         try:
-            reply = await self._exchange(
+            reply = await self._exchange.run(
                 work,
                 connection,
                 transaction.pool,
@@ -401,160 +326,4 @@
         transaction.has_left = True
         if transaction.at_primary:
             self._lead.leave(transaction.service)
-        self._give_back(transaction.connection, transaction.pool)
-
-    # Parts
-
-    def _give_back(self, connection: TargetConnection, pool: TargetPool) -> None:
-        if connection.state is not TransactionState.IDLE:
-            connection.abort()
-        pool.release(connection)
-
-    def _prepare(
-        self,
-        work: Work,
-        connection: TargetConnection,
-        shape: PreparedShape | None,
-    ) -> tuple[bytes, int]:
-        plan = connection.values.plan(work.values, shape)
-        connection.values.apply(plan)
-        return self._codec.encode_restore(plan)
-
-    async def _exchange(
-        self,
-        work: Work,
-        connection: TargetConnection,
-        pool: TargetPool,
-        data: bytes,
-        preparations: int,
-        *,
-        is_write: bool = False,
-        keeps: bool = False,
-        preparations_only: bool = False,
-    ) -> Reply:
-        asked_at = now_s()
-        pool.begin_statement()
-        if not preparations_only:
-            work.has_reached_target = True
-        sent = connection.send(data, preparations, asked_at)
-        sent.addBoth(_end_statement, pool)
-        sent.addTimeout(max(0.01, work.deadline - asked_at), self._reactor)
-        role = "primary" if is_write else "any"
-        try:
-            reply = await sent
-        except (TargetConnectionLost, TimeoutError) as error:
-            pool.load.record_failure(now_s())
-            is_timeout = isinstance(error, TimeoutError)
-            self._metrics.attempts.labels(
-                role, "timeout" if is_timeout else "lost"
-            ).inc()
-            if not keeps:
-                pool.release(connection)
-            if is_write:
-                code = FailureCode.OUTCOME_UNKNOWN
-            else:
-                code = FailureCode.TIMEOUT if is_timeout else FailureCode.FAILED
-            detail = "no answer in time" if is_timeout else "the connection was lost"
-            raise SessionFailure(code, f"{pool.entry.target_id}: {detail}") from error
-        now = now_s()
-        result = reply.failure.code.value if reply.failure else "completed"
-        self._metrics.attempts.labels(role, result).inc()
-        refusal = reply.failure.code if reply.failure else None
-        if refusal is FailureCode.OVERLOADED:
-            pool.window.on_refused()
-        elif refusal is not FailureCode.BEHIND and not preparations_only:
-            pool.window.on_answer(now - asked_at)
-            pool.load.record(now - asked_at, now)
-        if reply.ready.position is not None and reply.failure is None:
-            self._lead.observe(
-                work.route.service,
-                pool.entry.target_id,
-                asked_at,
-                reply.ready.position,
-            )
-        if not keeps:
-            self._give_back(connection, pool)
-        return reply
-
-    async def _acquire_primary(self, work: Work) -> tuple[TargetPool, TargetConnection]:
-        service = work.route.service
-        while True:
-            entry = await self._await_primary(work)
-            pool = self._directory.pool(entry)
-            try:
-                connection = await pool.acquire(
-                    work.team, priority=work.route.priority, deadline=work.hold_until
-                )
-            except SessionFailure:
-                if self._lead.may_use(service, entry.target_id):
-                    raise
-                continue
-            if self._lead.may_use(service, entry.target_id):
-                return pool, connection
-            pool.release(connection)
-
-    async def _await_primary(self, work: Work) -> TargetEntry:
-        service = work.route.service
-        while True:
-            entry = self._lead.primary(service)
-            if entry is not None:
-                return entry
-            remaining_s = min(work.remaining_s, self._lead.move_wait_s(service))
-            if remaining_s <= MIN_WAIT_S:
-                raise SessionFailure(
-                    FailureCode.OVERLOADED,
-                    "No primary can be used now.",
-                    retry_after_s=RETRY_ADVICE_S,
-                )
-            changed = self._lead.changed(service)
-            changed.addTimeout(remaining_s, self._reactor)
-            try:
-                await changed
-            except TimeoutError:
-                continue
-
-    async def _choose(
-        self, work: Work, failed: set[str]
-    ) -> tuple[TargetEntry, LogPosition | None]:
-        now = now_s()
-        route = work.route
-        primary = self._lead.primary(route.service)
-        candidates: list[tuple[float, TargetEntry, LogPosition | None]] = []
-        required = None
-        if route.consistency is not Consistency.PRIMARY:
-            required = self._lead.history(route.service).required_position(
-                now=work.began_at, max_age_s=route.max_age_s
-            )
-        if required is not None:
-            if work.session_position is not None:
-                required = max(required, work.session_position)
-            for entry in self._directory.usable(route.service):
-                is_primary = primary is not None and entry == primary
-                if is_primary or entry.target_id in failed:
-                    continue
-                if now < self._behind_until.get(entry.target_id, 0.0):
-                    continue
-                expected = self._expected_s(entry, work.team, now)
-                candidates.append((expected, entry, required))
-        if primary is not None and primary.target_id not in failed:
-            expected = self._expected_s(primary, work.team, now)
-            candidates.append((expected, primary, None))
-        if candidates:
-            _, entry, after = min(candidates, key=lambda candidate: candidate[0])
-            return entry, after
-        entry = await self._await_primary(work)
-        if entry.target_id in failed:
-            raise SessionFailure(FailureCode.OVERLOADED, "Every target failed.")
-        return entry, None
-
-    def _expected_s(self, entry: TargetEntry, team: str, now: float) -> float:
-        pool = self._directory.pool(entry)
-        is_local = entry.zone == self._directory.domain
-        expected = pool.load.expected_s(now, is_local=is_local)
-        expected += pool.wait_s
-        return expected if pool.has_idle(team) else expected + HANDSHAKE_S
-
-
-def _end_statement(result: Any, pool: TargetPool) -> Any:
-    pool.end_statement()
-    return result
+        self._exchange.give_back(transaction.connection, transaction.pool)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -23,6 +23,8 @@
 from guavabarrow_daemon.front.session_admission import SessionAdmission
 from guavabarrow_daemon.front.session_front import SessionFront
 from guavabarrow_daemon.front.session_router import SessionRouter
+from guavabarrow_daemon.front.target_chooser import TargetChooser
+from guavabarrow_daemon.front.target_exchange import TargetExchange
 from guavabarrow_daemon.kernel import Kernel
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.readiness_site import ReadinessSite
@@ -131,6 +133,8 @@
         kernel.register(DutyService(kernel, reactor))
         kernel.register(PrimaryWatch(kernel, reactor))
         kernel.register(PromotionService(kernel, parts.authority, reactor))
+        kernel.register(TargetChooser(kernel, reactor))
+        kernel.register(TargetExchange(kernel, reactor))
         kernel.register(SessionRouter(kernel, reactor))
         kernel.register(SessionAdmission(kernel, settings))
         kernel.register(
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/http_client.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/http_client.py
@@ -9,10 +9,9 @@
 
 from guavabarrow_daemon.http.client_connection import (
     ConnectionBroken,
-    HttpClientConnection,
     HttpResponse,
-    open_connection,
 )
+from guavabarrow_daemon.http.connection_pool import HttpConnectionPool
 from guavabarrow_daemon.store.interface import (
     ObjectStore,
     PlatformUnavailable,
@@ -60,10 +59,15 @@
         reactor: Any,
         on_operation: Callable[[str], None] | None = None,
     ) -> None:
-        self._address = (host, port)
+        self._connections = HttpConnectionPool(
+            host,
+            port,
+            reactor,
+            connect_timeout_s=STORE_TIMEOUT_S,
+            max_idle=MAX_IDLE_CONNECTIONS,
+        )
         self._headers = {"Authorization": f"Bearer {credential}"}
         self._reactor = reactor
-        self._idle: list[HttpClientConnection] = []
         self._on_operation = on_operation or (lambda path: None)
 
     async def transact(self, message: Transact) -> TransactAnswer:
@@ -95,8 +99,7 @@
 
     def close(self) -> None:
         """Close idle connections."""
-        for connection in self._idle:
-            connection.abort()
+        self._connections.close()
 
     async def _call(
         self,
@@ -118,7 +121,7 @@
     async def _request(self, method: str, path: str, body: bytes) -> HttpResponse:
         self._on_operation(path.split("/", 2)[1])
         try:
-            connection = await self._connection()
+            connection = await self._connections.take()
             pending = connection.request(method, path, body, self._headers)
             pending.addTimeout(STORE_TIMEOUT_S, self._reactor)
             response = await pending
@@ -126,18 +129,5 @@
             raise PlatformUnavailable(
                 f"The platform gave no answer: {error}"
             ) from error
-        if connection.is_open and len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            connection.abort()
+        self._connections.give_back(connection)
         return response
-
-    async def _connection(self) -> HttpClientConnection:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_open:
-                return connection
-        host, port = self._address
-        return await open_connection(
-            self._reactor, host, port, timeout_s=STORE_TIMEOUT_S
-        )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_pool.py
@@ -66,10 +66,27 @@
 
 @dataclass(slots=True)
 class Waiter:
-    """A statement that waits for a connection."""
+    """A statement that waits for a connection.
+
+    Parameters
+    ----------
+    team : str
+        Team that it runs for.
+    priority : int
+        0 is served first.
+    start_tag : float
+        Position in the fair order of teams; see ``guavabarrow_core.fair_queue``.
+    order : int
+        Order of arrival.
+    deadline : float
+        Local time after which it is refused, in s.
+    result : Deferred
+        Gets the connection.
+    """
 
     team: str
     priority: int
+    start_tag: float
     order: int
     deadline: float
     result: Deferred[TargetConnection]
@@ -116,6 +133,8 @@
         self._waiters: list[Waiter] = []
         self._opening = 0
         self._order = 0
+        self._virtual_time = 0.0
+        self._finish_tag_by_team: dict[str, float] = {}
         self._full_until = 0.0
         self._unreachable_at: float | None = None
         self._is_closed = False
@@ -197,8 +216,12 @@
             )
             return result
         self._order += 1
-        self._waiters.append(Waiter(team, priority, self._order, deadline, result))
-        self._waiters.sort(key=lambda waiter: (waiter.priority, waiter.order))
+        start_tag = max(self._virtual_time, self._finish_tag_by_team.get(team, 0.0))
+        self._finish_tag_by_team[team] = start_tag + 1.0
+        self._waiters.append(
+            Waiter(team, priority, start_tag, self._order, deadline, result)
+        )
+        self._waiters.sort(key=lambda w: (w.priority, w.start_tag, w.order))
         self._serve()
         return result
 
@@ -265,6 +288,9 @@
             connection = None if waiter is None else self._take_idle(waiter.team)
             if waiter is not None and connection is not None:
                 self._waiters.remove(waiter)
+                self._virtual_time = max(self._virtual_time, waiter.start_tag)
+                if not self._waiters:
+                    self._finish_tag_by_team.clear()
                 waiter.result.callback(connection)
                 continue
             if self._opening >= min(MAX_OPENING, len(self._waiters)):
--- a/packages/guavabarrow-daemon/tests/test_target_pool.py
+++ b/packages/guavabarrow-daemon/tests/test_target_pool.py
@@ -157,3 +157,15 @@
     now[0] += idle_s
     pool.trim()
     assert connection.is_open is (idle_s < target_pool.IDLE_S)
+
+
+def test_a_team_with_many_statements_does_not_starve_another():
+    """Load: one team sends five statements before another sends its first."""
+    pool = Pool()
+    pool.most = 1
+    many = [ask(pool, "many") for _ in range(5)]
+    connection = pool.complete()
+    assert many[0] == [connection]
+    ask(pool, "few")
+    ask(pool, "many")
+    assert [waiter.team for waiter in pool._waiters][:2] == ["few", "many"]
