Write the age of a table that was never known as a number

statement_answered carried table_age_s: null right after a registration, because the age was infinite; a log line states its inputs.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
@@ -136,7 +136,7 @@
             result=result,
             elapsed_ms=round(elapsed_s * 1000, 1),
             configuration=self.configuration.version if self.configuration else 0,
-            table_age_s=round(now_s() - self._fleet.state.heard_at, 2),
+            table_age_s=self._fleet.table_age_s(),
             detail=detail,
         )
 
