--- a/packages/guavabarrow-core/tests/test_primary_evidence.py
+++ b/packages/guavabarrow-core/tests/test_primary_evidence.py
@@ -10,6 +10,9 @@
     ProbeResult,
 )
 
+CONFIRMED_S = CONFIRM_S + 0.001
+"""The bound and a margin for binary fractions."""
+
 
 def lost(evidence: PrimaryEvidence, now: float, others: int = 8) -> bool:
     return evidence.is_lost(now, votes=evidence.votes(now), others=others)
@@ -19,17 +22,17 @@
     evidence = PrimaryEvidence()
     evidence.record_probe(ProbeResult.REFUSED, 1.0)
     assert not lost(evidence, 1.0)
-    assert lost(evidence, 1.0 + CONFIRM_S)
+    assert lost(evidence, 1.0 + CONFIRMED_S)
 
 
 def test_silence_needs_another_vms_word():
     evidence = PrimaryEvidence()
     evidence.record_probe(ProbeResult.SILENT, 1.0)
     lost(evidence, 1.0)
-    assert not lost(evidence, 1.0 + CONFIRM_S)
+    assert not lost(evidence, 1.0 + CONFIRMED_S)
     evidence.record_vote("b", False, 1.0)
     lost(evidence, 1.1)
-    assert lost(evidence, 1.1 + CONFIRM_S)
+    assert lost(evidence, 1.1 + CONFIRMED_S)
 
 
 def test_a_few_vms_do_not_outvote_an_answered_probe():
@@ -38,10 +41,10 @@
     for vm in ("b", "c", "d"):
         evidence.record_vote(vm, False, 1.0)
     lost(evidence, 1.0)
-    assert not lost(evidence, 1.0 + CONFIRM_S)
+    assert not lost(evidence, 1.0 + CONFIRMED_S)
     evidence.record_vote("e", False, 1.0)
     lost(evidence, 1.0)
-    assert lost(evidence, 1.0 + CONFIRM_S)
+    assert lost(evidence, 1.0 + CONFIRMED_S)
 
 
 def test_evidence_from_before_a_cut_healed_does_not_count():
@@ -51,7 +54,7 @@
     lost(evidence, 1.0)
     later = 1.0 + max(PROBE_VALID_S, VOTE_VALID_S) + 0.01
     assert not lost(evidence, later)
-    assert not lost(evidence, later + CONFIRM_S)
+    assert not lost(evidence, later + CONFIRMED_S)
 
 
 def test_a_withdrawn_word_does_not_count():
