--- /dev/null
+++ b/packages/guavabarrow-daemon/tests/test_duty_service.py
@@ -0,0 +1,134 @@
+"""The duty of ordering promotions, without a network and under virtual time."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet.task import Clock
+
+from guavabarrow_core.fleet_state import (
+    DUTY_KEY,
+    DUTY_RIGHT_S,
+    DutyRow,
+    FleetState,
+    MemberRow,
+    VersionedRow,
+    member_key,
+)
+from guavabarrow_daemon.fleet import duty_service
+from guavabarrow_daemon.fleet.duty_service import (
+    CHECK_S,
+    HOLDER_SILENT_S,
+    OUT_AFTER_S,
+    TAKEOVER_STEP_S,
+    DutyService,
+)
+from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.peer_links import PeerLinks
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.store.watched_table import Written
+
+OWN, HOLDER, GONE = "a", "b", "c"
+MOST_RANKS = 2
+"""Candidates for the duty besides its holder."""
+
+
+class FakeLinks(PeerLinks):
+    def __init__(self, kernel: Kernel) -> None:
+        Service.__init__(self, kernel)
+        self.in_contact = frozenset({HOLDER, GONE})
+
+    def contacts(self) -> frozenset[str]:
+        return self.in_contact
+
+    def incarnation_of(self, vm: str) -> str:
+        return "1"
+
+
+class FakeFleet(FleetService):
+    def __init__(self, kernel: Kernel) -> None:
+        Service.__init__(self, kernel)
+        self.state = FleetState(OWN, "1")
+        self.is_stopping = False
+        self.age_s = 0.0
+        self.written: list = []
+        self.put(DUTY_KEY, DutyRow(HOLDER, "1"))
+        for vm in (OWN, HOLDER, GONE):
+            row = MemberRow(vm, "north", "10.0.0.1", 1, "1")
+            self.put(member_key(vm), row)
+
+    def put(self, key: str, row) -> None:
+        version = self.state.version + 1
+        self.state.hear(
+            [VersionedRow(key, version, row)], version, heard_at=0.0, now=0.0
+        )
+
+    def table_age_s(self) -> float:
+        return self.age_s
+
+    async def write(self, key: str, row) -> Written:
+        self.written.append((key, row))
+        self.put(key, row)
+        return Written(True, self.state.version, 0.0)
+
+
+class World:
+    """One VM whose clock the test moves."""
+
+    def __init__(self, monkeypatch) -> None:
+        self.clock = Clock()
+        monkeypatch.setattr(duty_service, "now_s", self.clock.seconds)
+        self.kernel = Kernel()
+        self.links = FakeLinks(self.kernel)
+        self.fleet = FakeFleet(self.kernel)
+        self.kernel.register(self.links)
+        self.kernel.register(self.fleet)
+        self.duty = DutyService(self.kernel, self.clock)
+        for _ in self.duty.start().__await__():
+            raise AssertionError("starting the service must not wait")
+
+    def pass_time(self, duration_s: float) -> None:
+        for _ in range(round(duration_s / CHECK_S)):
+            self.clock.advance(CHECK_S)
+            self.fleet.state.heard_at = self.clock.seconds() - self.fleet.age_s
+
+
+@pytest.fixture
+def world(monkeypatch) -> World:
+    return World(monkeypatch)
+
+
+def test_a_holder_in_contact_keeps_the_duty(world):
+    world.pass_time(20.0)
+    assert world.fleet.written == []
+
+
+def test_the_duty_of_a_silent_holder_is_taken_and_waited_for(world):
+    world.links.in_contact = frozenset({GONE})
+    world.pass_time(HOLDER_SILENT_S + MOST_RANKS * TAKEOVER_STEP_S + 2 * CHECK_S)
+    assert world.fleet.written[0] == (DUTY_KEY, DutyRow(OWN, "1"))
+    assert not world.duty.may_act()
+    world.pass_time(DUTY_RIGHT_S + CHECK_S)
+    assert world.duty.may_act()
+
+
+def test_a_vm_that_was_cut_off_takes_nothing_over(world):
+    """Seen when a cut healed: a takeover stalled a promotion for 3 s."""
+    world.links.in_contact = frozenset()
+    world.fleet.age_s = 5.0
+    world.pass_time(10.0)
+    world.links.in_contact = frozenset({HOLDER, GONE})
+    world.fleet.age_s = 0.0
+    world.pass_time(10.0)
+    assert world.fleet.written == []
+
+
+def test_silence_from_before_the_duty_moved_counts(world):
+    """Seen on a played day: a promotion waited 4.5 s for a VM that was long gone."""
+    world.links.in_contact = frozenset({HOLDER})
+    world.pass_time(OUT_AFTER_S + 1.0)
+    assert world.fleet.written == []
+    world.links.in_contact = frozenset()
+    world.pass_time(HOLDER_SILENT_S + MOST_RANKS * TAKEOVER_STEP_S + 4 * CHECK_S)
+    keys = [key for key, _ in world.fleet.written]
+    assert keys[:2] == [DUTY_KEY, member_key(GONE)]
+    assert world.fleet.written[1][1].is_out
