Use a leaving primary until it is replaced; call a failure domain by its name

Cause: once a primary was known to drain, writes were refused at once until its replacement began (up to 0.2 s; 78 log lines dropped in a test that sent without pause), although it may be used for seconds.

The new modules said zone where the project says failure domain.

--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
@@ -34,7 +34,7 @@
 
     Parameters
     ----------
-    vm, zone : str
+    vm, domain : str
         Its name and failure domain.
     host, port : str, int
         Address for messages between VMs.
@@ -45,7 +45,7 @@
     """
 
     vm: str
-    zone: str
+    domain: str
     host: str
     port: int
     incarnation: str
@@ -202,12 +202,12 @@
             if isinstance(known.row, MemberRow)
         }
 
-    def observer(self, zone: str, contacts: frozenset[str]) -> str:
+    def observer(self, domain: str, contacts: frozenset[str]) -> str:
         """Return the VM of a failure domain that follows the store for the others.
 
         Parameters
         ----------
-        zone : str
+        domain : str
             This VM's failure domain.
         contacts : frozenset of str
             VMs that were heard lately.
@@ -215,7 +215,7 @@
         candidates = [
             member.vm
             for member in self.member_by_vm().values()
-            if member.zone == zone and member.vm in contacts and not member.is_out
+            if member.domain == domain and member.vm in contacts and not member.is_out
         ]
         return min([*candidates, self.vm])
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
@@ -15,7 +15,7 @@
 
     Parameters
     ----------
-    target_id, service, zone : str
+    target_id, service, domain : str
         Its name, the service that it belongs to, its failure domain.
     host, port : str, int
         Its address, which is used again by others once it is gone.
@@ -31,7 +31,7 @@
 
     target_id: str
     service: str
-    zone: str
+    domain: str
     host: str
     port: int
     is_draining: bool
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -79,6 +79,7 @@
         self._links = kernel.find(PeerLinks)
         self._suspected: dict[str, tuple[str, float]] = {}
         self.change = 0
+        self._leaving_since: dict[str, float] = {}
         self._is_stopping = False
         self._problems: set[str] = set()
         self._trims: LoopingCall | None = None
@@ -109,7 +110,7 @@
         return [
             entry
             for entry in self.directory.of_service(service)
-            if not entry.is_draining and entry.zone not in self._fleet.evacuated
+            if not entry.is_draining and entry.domain not in self._fleet.evacuated
         ]
 
     def may_use(self, target_id: str) -> bool:
@@ -118,9 +119,14 @@
         return (
             entry is not None
             and not entry.is_draining
-            and entry.zone not in self._fleet.evacuated
+            and entry.domain not in self._fleet.evacuated
         )
 
+    def leaving_s(self, target_id: str) -> float:
+        """Return for how long a target is known to get no new work, in s."""
+        since = self._leaving_since.get(target_id)
+        return 0.0 if since is None else now_s() - since
+
     def pool(self, entry: TargetEntry) -> TargetPool:
         """Return the pool of a target, a new one if its address changed."""
         pool = self.pool_by_id.get(entry.target_id)
@@ -193,7 +199,7 @@
                 "target_entry",
                 target=target_id,
                 service=entry.service,
-                zone=entry.zone,
+                domain=entry.domain,
                 draining=entry.is_draining,
                 primary=entry.is_primary,
                 born_ms=entry.born_ms,
@@ -241,10 +247,21 @@
         )
 
     def _trim(self) -> None:
+        self._track_leaving()
         for pool in list(self.pool_by_id.values()):
             self._set_limits(pool)
             pool.trim()
 
+    def _track_leaving(self) -> None:
+        now = now_s()
+        for target_id in self.directory.entry_by_id:
+            if self.may_use(target_id):
+                self._leaving_since.pop(target_id, None)
+            else:
+                self._leaving_since.setdefault(target_id, now)
+        for target_id in set(self._leaving_since) - set(self.directory.entry_by_id):
+            del self._leaving_since[target_id]
+
     def _set_limits(self, pool: TargetPool) -> None:
         configuration = self._fleet.configuration
         if configuration is None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -225,7 +225,7 @@
     async def _register(self) -> None:
         own = MemberRow(
             vm=self._settings.vm,
-            zone=self._settings.domain,
+            domain=self._settings.domain,
             host=self._settings.host,
             port=self._links.port,
             incarnation=self.state.incarnation,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/lead_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/lead_service.py
@@ -30,6 +30,10 @@
 PLANNED_DRAIN_S = 0.4
 """Time that running work has before a planned move breaks it off."""
 
+LEAVING_S = 2.0
+"""Time for which a primary that gets no new work is used until it is replaced; well
+below the time that a leaving target or an evacuated failure domain has."""
+
 DRAIN_CHECK_S = 0.01
 USUAL_MOVE_S = 1.6
 """A replacement with all VMs in reach: up to 1 s for the promotion itself, the rest for
@@ -69,7 +73,7 @@
         if not self._fleet.state.may_use_primary(service, now_s()):
             return None
         lead = self._fleet.state.lead(service)
-        if lead is None or not self._directory.may_use(lead.primary_id):
+        if lead is None or self._directory.leaving_s(lead.primary_id) > LEAVING_S:
             return None
         return self._directory.entry(lead.primary_id)
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
@@ -19,7 +19,7 @@
     """Registration of a VM."""
 
     vm: str
-    zone: str
+    domain: str
     host: str
     port: int
     incarnation: str
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
@@ -150,7 +150,7 @@
 
     def _expected_s(self, entry: TargetEntry, team: str, now: float) -> float:
         pool = self._directory.pool(entry)
-        is_local = entry.zone == self._directory.domain
+        is_local = entry.domain == self._directory.domain
         expected = pool.load.expected_s(now, is_local=is_local)
         expected += pool.wait_s
         return expected if pool.has_idle(team) else expected + HANDSHAKE_S
