--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -63,8 +63,9 @@
         self._silent_since: dict[str, float] = {}
         self._marked_at: dict[str, float] = {}
         self._holder_lost_at: float | None = None
-        self._acts_from = float("inf")
+        self._acts_from: float | None = None
         self._is_writing = False
+        self._has_handed_over = False
         self._checks: LoopingCall | None = None
 
     async def start(self) -> None:
@@ -81,13 +82,15 @@
     def may_act(self) -> bool:
         """Tell whether this VM may order promotions now."""
         now = now_s()
-        return now >= self._acts_from and self._fleet.state.holds_duty(now)
+        is_time = self._acts_from is not None and now >= self._acts_from
+        return is_time and self._fleet.state.holds_duty(now)
 
     async def hand_over(self) -> None:
         """Give the duty up, so that another VM takes it at once."""
+        self._has_handed_over = True
         if not self._fleet.state.holds_duty(now_s()):
             return
-        self._acts_from = float("inf")
+        self._acts_from = None
         await self._fleet.write(DUTY_KEY, DutyRow("", ""))
 
     def _check(self) -> None:
@@ -99,8 +102,13 @@
         if not state.holds_duty(now):
             self._consider(now)
             return
+        if self._has_handed_over or self._is_writing:
+            return
+        if self._acts_from is None:
+            # The answer to the write was lost; the table tells that it was done.
+            self._begin(acts_in_s=DUTY_RIGHT_S)
         self._mark_silent_members(now)
-        if now < self._acts_from:
+        if not self.may_act():
             return
         for callback in self.on_check:
             callback(now)
@@ -108,13 +116,14 @@
     def _consider(self, now: float) -> None:
         state = self._fleet.state
         duty = state.duty()
-        if self._is_writing or self._fleet.is_stopping:
+        if self._is_writing or self._has_handed_over:
             return
         if duty is not None and duty.holder == state.vm:
             if duty.incarnation != state.incarnation:
                 # The holder was this VM's earlier lifetime, which has ended.
                 self._take(acts_in_s=0.0)
             return
+        self._acts_from = None
         if self._fleet.table_age_s() > MAX_TABLE_AGE_S:
             # A VM that was cut off can't tell whether the holder is silent.
             self._holder_lost_at = None
@@ -144,15 +153,18 @@
             written = await self._fleet.write(DUTY_KEY, row)
             self._is_writing = False
             self._holder_lost_at = None
-            if written is None or not written.is_applied:
-                return
-            self._acts_from = now_s() + acts_in_s
-            log_decision("duty_taken", version=written.version, acts_in_s=acts_in_s)
-            for callback in self.on_taken:
-                callback()
+            if written is not None and written.is_applied:
+                self._begin(acts_in_s=acts_in_s)
 
         Deferred.fromCoroutine(take())
 
+    def _begin(self, *, acts_in_s: float) -> None:
+        self._acts_from = now_s() + acts_in_s
+        version = self._fleet.state.version_of(DUTY_KEY)
+        log_decision("duty_taken", version=version, acts_in_s=acts_in_s)
+        for callback in self.on_taken:
+            callback()
+
     def _track_silence(self, now: float) -> None:
         contacts = self._links.contacts()
         members = self._fleet.state.member_by_vm()
--- a/packages/guavabarrow-daemon/tests/test_duty_service.py
+++ b/packages/guavabarrow-daemon/tests/test_duty_service.py
@@ -132,3 +132,29 @@
     keys = [key for key, _ in world.fleet.written]
     assert keys[:2] == [DUTY_KEY, member_key(GONE)]
     assert world.fleet.written[1][1].is_out
+
+
+def test_a_duty_whose_answer_was_lost_is_acted_on(world):
+    """The write was done, its answer lost: the table says who holds the duty."""
+    written = world.fleet.write
+
+    async def write(key: str, row):
+        await written(key, row)
+
+    world.fleet.write = write
+    world.links.in_contact = frozenset({GONE})
+    world.pass_time(HOLDER_SILENT_S + MOST_RANKS * TAKEOVER_STEP_S + 2 * CHECK_S)
+    assert not world.duty.may_act()
+    world.pass_time(DUTY_RIGHT_S + 2 * CHECK_S)
+    assert world.duty.may_act()
+
+
+def test_a_duty_that_was_handed_over_is_not_taken_again(world):
+    world.fleet.put(DUTY_KEY, DutyRow(OWN, "1"))
+    world.pass_time(DUTY_RIGHT_S + 1.0)
+    assert world.duty.may_act()
+    for _ in world.duty.hand_over().__await__():
+        raise AssertionError("the fake store answers at once")
+    world.pass_time(5.0)
+    assert world.fleet.state.duty() == DutyRow("", "")
+    assert not world.duty.may_act()
--- a/tests/platform_adapter/standin_platform.py
+++ b/tests/platform_adapter/standin_platform.py
@@ -29,6 +29,7 @@
 
     def __init__(self) -> None:
         self.is_down = False
+        self.loses_answers_of_writes = 0
         self.calls: list[str] = []
         self._rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
         self._version = 0
@@ -97,7 +98,10 @@
             for drop in body["Remove"]:
                 self._rows[(drop["Table"], drop["Key"])] = (None, self._version)
             self._changed.notify_all()
-            return 200, self._clock()
+        if self.loses_answers_of_writes > 0:
+            self.loses_answers_of_writes -= 1
+            raise ConnectionAbortedError("The answer is lost.")
+        return 200, self._clock()
 
     def _feed(self, query: dict[str, str]) -> tuple[int, dict]:
         after = int(query["after"])
@@ -435,9 +439,12 @@
             def _answer(self) -> None:
                 length = int(self.headers.get("Content-Length") or 0)
                 body = self.rfile.read(length)
-                status, value = handle(
-                    _HttpRequest(self.path, dict(self.headers), body)
-                )
+                request = _HttpRequest(self.path, dict(self.headers), body)
+                try:
+                    status, value = handle(request)
+                except ConnectionAbortedError:
+                    self.close_connection = True
+                    return
                 data = json.dumps(value).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
--- a/tests/platform_adapter/test_session_fleet.py
+++ b/tests/platform_adapter/test_session_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 
 import pytest
@@ -14,6 +15,10 @@
 RECOVERY_LIMIT_S = 12.0
 """Limits of the users' pages."""
 
+STILL_RIGHT_S = 3.0
+"""A VM that stands still is waited for at least this long: its right lasts 6 s from the
+last time at which it knew the shared table, which may be 2.6 s old."""
+
 PAUSE_S = 0.005
 """Keeps one caller below its team's rate."""
 
@@ -103,3 +108,43 @@
         vm.stop()
     assert tokens == sorted(set(tokens))
     assert len(tokens) >= 2
+
+
+def test_a_vm_starts_although_the_store_loses_answers_of_its_writes(session_world):
+    """Registration, duty and primary are written, and no answer says so."""
+    session_world.store.loses_answers_of_writes = 3
+    vm = session_world.start_vm("vm-1")
+    assert session_world.store.loses_answers_of_writes == 0
+    assert len(vm.events("duty_taken")) <= 1
+
+
+def test_a_frozen_vm_that_wakes_uses_no_primary_that_was_replaced(session_world):
+    """The others wait until its right has lapsed; then they replace the primary."""
+    frozen, second = (session_world.start_vm(f"vm-{number}") for number in (1, 2))
+    group = session_world.group
+    callers = [Caller(frozen.front, "primary") for _ in range(4)]
+    for caller in callers:
+        caller.ask("READ a1")
+    frozen.process.send_signal(signal.SIGSTOP)
+    try:
+        old = group.primary
+        frozen_at = time.monotonic()
+        group.register(old, state="draining")
+        wait_for(lambda: group.primary is not old, "the primary is replaced")
+        waited_s = time.monotonic() - frozen_at
+        wait_for(lambda: session_world.can_write(second), "writes work again")
+        assert (
+            Caller(second.front, "primary")
+            .ask("WRITE a1 new")[1]
+            .startswith("COMPLETE")
+        )
+        ran = len(group.ran)
+        for caller in callers:
+            caller.send_line("QUERY late READ a1")
+    finally:
+        frozen.process.send_signal(signal.SIGCONT)
+    first_lines = [caller.read_line() for caller in callers]
+    assert all(line.startswith(("DATAROW new", "ERROR")) for line in first_lines)
+    late = [s for s in group.ran[ran:] if s.request_id == "late"]
+    assert all(statement.at_primary for statement in late)
+    assert waited_s > STILL_RIGHT_S
