--- a/packages/guavabarrow-core/tests/test_operation_rate.py
+++ b/packages/guavabarrow-core/tests/test_operation_rate.py
@@ -120,6 +120,18 @@
     assert refused <= 0.02 * fleet.asked
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("per_s", [12.0, 126.0])
+def test_a_large_fleet_stays_within_the_rate_when_a_team_sends_too_much(seed, per_s):
+    """Load: one team presses at 72 VMs at once; two tokens at each were too many."""
+    rng = np.random.default_rng(seed)
+    fleet = Fleet(72, TeamRate(per_s, per_s))
+    shares = weights(rng, 72)
+    fleet.play(rng, 0.0, 8.0, per_s * 0.6, shares)
+    fleet.play(rng, 8.0, 12.0, per_s * 7.5, shares)
+    assert fleet.most_in_a_window() <= fleet.allowed
+
+
 def test_a_token_that_was_not_used_comes_back():
     rates = OperationRates("a")
     rates.configure({TEAM: TeamRate(1.0, 1.0)})
--- /dev/null
+++ b/packages/guavabarrow-core/tests/test_peer_topology.py
@@ -0,0 +1,76 @@
+"""Links between VMs.
+
+Load: 73 VMs in three failure domains, whose regular messages filled links of 5 Mbit/s.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from guavabarrow_core.fleet_state import MemberRow
+from guavabarrow_core.peer_topology import anchors_by_domain, peers_to_link
+
+DOMAINS = ("north", "south", "west")
+
+
+def fleet(*sizes: int, out: frozenset[str] = frozenset()) -> dict[str, MemberRow]:
+    names = [
+        (f"{domain}-{number:02}", domain)
+        for domain, size in zip(DOMAINS, sizes, strict=True)
+        for number in range(size)
+    ]
+    return {
+        name: MemberRow(name, domain, "10.0.0.1", 1, "1", is_out=name in out)
+        for name, domain in names
+    }
+
+
+def links(members: dict[str, MemberRow], holder: str = "") -> set[frozenset[str]]:
+    return {
+        frozenset({vm, peer})
+        for vm, member in members.items()
+        for peer in peers_to_link(vm, member.domain, members, holder)
+    }
+
+
+def test_a_small_fleet_is_fully_linked():
+    members = fleet(3, 3, 3)
+    assert len(links(members)) == 9 * 8 / 2
+
+
+@pytest.mark.parametrize("holder", ["", "north-00", "south-20"])
+def test_both_ends_want_a_link_or_neither(holder):
+    members = fleet(24, 24, 25)
+    for vm, member in members.items():
+        for peer in peers_to_link(vm, member.domain, members, holder):
+            back = peers_to_link(peer, members[peer].domain, members, holder)
+            assert vm in back
+
+
+def test_links_between_domains_grow_with_the_fleet_and_not_with_its_square():
+    members = fleet(24, 24, 25)
+    between = [
+        link for link in links(members) if len({members[vm].domain for vm in link}) == 2
+    ]
+    full = 24 * 24 + 2 * 24 * 25
+    anchors = 9
+    assert len(between) <= anchors * len(members)
+    assert len(between) < full / 3
+
+
+def test_the_holder_of_the_duty_is_linked_to_everybody():
+    members = fleet(24, 24, 25)
+    assert len(peers_to_link("south-20", "south", members, "south-20")) == 72
+    assert "south-20" in peers_to_link("west-24", "west", members, "south-20")
+
+
+def test_a_domain_whose_anchors_are_out_has_others():
+    out = frozenset({"north-00", "north-02"})
+    anchors = anchors_by_domain(fleet(5, 3, 1, out=out))
+    assert anchors["north"] == ("north-01", "north-03", "north-04")
+    assert anchors["west"] == ("west-00",)
+
+
+def test_a_domain_with_all_its_vms_out_has_no_anchor():
+    out = frozenset({"west-00"})
+    assert "west" not in anchors_by_domain(fleet(1, 1, 1, out=out))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavabarrow_daemon.fleet.fleet_service import PulseDraft
     from guavabarrow_daemon.session_codec import TargetCodec
     from guavabarrow_daemon.store.watched_table import DirectorySource
 
@@ -281,10 +282,10 @@
                     callback()
                 return
 
-    def _fill_pulse(self, fields: dict[str, Any]) -> None:
-        fields["suspected"] = self.suspected()
-        fields["directory_age_s"] = round(self.age_s, 3)
-        fields["directory_change"] = self.change
+    def _fill_pulse(self, draft: PulseDraft) -> None:
+        draft.common["suspected"] = self.suspected()
+        draft.common["directory_age_s"] = round(self.age_s, 3)
+        draft.common["directory_change"] = self.change
 
     @staticmethod
     def _is_same(known: TargetEntry, entry: TargetEntry) -> bool:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -14,6 +14,7 @@
     DutyRow,
     member_key,
 )
+from guavabarrow_core.peer_topology import anchors_by_domain
 from guavabarrow_core.rendezvous import rank_of
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
@@ -139,11 +140,24 @@
             return
         if self._holder_lost_at is None:
             self._holder_lost_at = now
-        rank = rank_of("duty", state.vm, contacts)
+        rank = self._rank(contacts)
         patience_s = HOLDER_SILENT_S if has_holder else VACANT_S
         if now - self._holder_lost_at >= patience_s + rank * TAKEOVER_STEP_S:
             self._take(acts_in_s=DUTY_RIGHT_S if has_holder else 0.0)
 
+    def _rank(self, contacts: frozenset[str]) -> int:
+        """Return how many candidates come first; anchors are linked to everybody."""
+        anchors = {
+            vm
+            for names in anchors_by_domain(self._fleet.state.member_by_vm()).values()
+            for vm in names
+        }
+        candidates = contacts & anchors
+        vm = self._fleet.state.vm
+        if vm in anchors:
+            return rank_of("duty", vm, candidates)
+        return len(candidates) + rank_of("duty", vm, contacts - anchors)
+
     def _take(self, *, acts_in_s: float) -> None:
         self._is_writing = True
         state = self._fleet.state
@@ -169,7 +183,7 @@
         contacts = self._links.contacts()
         members = self._fleet.state.member_by_vm()
         for vm in set(members) | set(self._silent_since):
-            if vm in members and vm not in contacts and vm != self._fleet.state.vm:
+            if vm in members and vm not in contacts and self._links.is_wanted(vm):
                 self._silent_since.setdefault(vm, now)
             else:
                 self._silent_since.pop(vm, None)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -23,9 +23,15 @@
     Parameters
     ----------
     demand_by_team : dict of str to float
-        Operations per second asked for at this VM, of teams whose demand changed.
+        Operations per second asked for, of teams whose demand changed. Inside the
+        failure domain that at this VM; to other domains that of the whole domain, from
+        the host of its pool.
     is_full : bool
         Whether teams that are missing have no demand.
+    pool_host : str
+        VM of the own failure domain whose pool of tokens the sender uses.
+    has_pool : bool
+        Whether the sender hosts an open pool.
     suspected : dict of str to str
         Evidence by target that this VM can't use.
     store_age_s : float
@@ -40,6 +46,8 @@
 
     demand_by_team: dict[str, float] = {}
     is_full: bool = False
+    pool_host: str = ""
+    has_pool: bool = False
     suspected: dict[str, str] = {}
     store_age_s: float = UNKNOWN_AGE_S
     rows_version: int = 0
@@ -132,7 +140,45 @@
     targets: list[TargetEntry] | None = None
 
 
-FleetMessage = Hello | Pulse | FleetRows | Stopped | TableRequest | TableAnswer
+class TokenRequest(msgspec.Struct, frozen=True, tag="tokens"):
+    """Asks the host of a pool for tokens of a team."""
+
+    number: int
+    team: str
+    count: int
+
+
+class TokenGrant(msgspec.Struct, frozen=True, tag="grant"):
+    """Answer to :class:`TokenRequest`.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request.
+    count : int
+        Tokens granted.
+    wait_s : float
+        Time until the next token, if there was none.
+    detail : str
+        Why there was none.
+    """
+
+    number: int
+    count: int
+    wait_s: float = 0.0
+    detail: str = ""
+
+
+FleetMessage = (
+    Hello
+    | Pulse
+    | FleetRows
+    | Stopped
+    | TableRequest
+    | TableAnswer
+    | TokenRequest
+    | TokenGrant
+)
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(FleetMessage)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -14,6 +15,7 @@
     VersionedRow,
     member_key,
 )
+from guavabarrow_core.peer_topology import peers_to_link
 from guavabarrow_core.store_clock import StoreClock
 from guavabarrow_daemon.fleet.fleet_messages import (
     FleetMessage,
@@ -71,6 +73,23 @@
 RELAY_CHECK_S = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class PulseDraft:
+    """Fields of the next pulse.
+
+    Parameters
+    ----------
+    common : dict
+        Told to all VMs.
+    inside, outside : dict
+        Told to the own failure domain, and to the others.
+    """
+
+    common: dict[str, Any]
+    inside: dict[str, Any] = field(default_factory=dict)
+    outside: dict[str, Any] = field(default_factory=dict)
+
+
 class FleetService(Service):
     """Shared table and operators' orders of one VM.
 
@@ -109,7 +128,7 @@
         self.on_rows: list[Callable[[list[VersionedRow]], None]] = []
         self.on_orders: list[Callable[[], None]] = []
         self.on_pulse: list[Callable[[str, Pulse], None]] = []
-        self.fill_pulse: list[Callable[[dict[str, Any]], None]] = []
+        self.fill_pulse: list[Callable[[PulseDraft], None]] = []
         self.store_failed_at = float("-inf")
         self.stale_at = float("-inf")
         self.is_stopping = False
@@ -254,10 +273,8 @@
     def _tell_rows(self, changed: list[VersionedRow]) -> None:
         if not changed:
             return
-        if any(isinstance(row.row, MemberRow) or row.row is None for row in changed):
-            members = self.state.member_by_vm()
-            members.pop(self._settings.vm, None)
-            self._links.set_members(members)
+        if any(not isinstance(row.row, LeadRow) for row in changed):
+            self._choose_peers()
         for row in changed:
             if isinstance(row.row, LeadRow):
                 log_decision(
@@ -271,6 +288,17 @@
         for callback in self.on_rows:
             callback(changed)
 
+    def _choose_peers(self) -> None:
+        members = self.state.member_by_vm()
+        duty = self.state.duty()
+        peers = peers_to_link(
+            self._settings.vm,
+            self._settings.domain,
+            members,
+            duty.holder if duty is not None else "",
+        )
+        self._links.want({vm: members[vm] for vm in peers if vm in members})
+
     async def _follow_orders(self) -> None:
         while not self.is_stopping:
             if self._orders_version > 0 and self._is_relayed():
@@ -402,15 +430,21 @@
         self.kernel.find(SessionMetrics).store_age.set(age_s)
         if age_s > STALE_S:
             self.stale_at = now_s()
-        fields: dict[str, Any] = {
-            "store_age_s": age_s,
-            "rows_version": self.state.rows_version,
-            "orders_version": self.orders_row_version,
-        }
+        draft = PulseDraft(
+            {
+                "store_age_s": age_s,
+                "rows_version": self.state.rows_version,
+                "orders_version": self.orders_row_version,
+            }
+        )
         for fill in self.fill_pulse:
-            fill(fields)
+            fill(draft)
         self._links.dial_missing()
-        self._links.broadcast(Pulse(**fields))
+        self._links.broadcast_by_domain(
+            self._settings.domain,
+            inside=Pulse(**draft.common, **draft.inside),
+            outside=Pulse(**draft.common, **draft.outside),
+        )
 
     def _on_message(self, vm: str, message: FleetMessage) -> None:
         match message:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
@@ -1,4 +1,4 @@
-"""Links to the other VMs: one dialled connection to each, used in both directions.
+"""Links to other VMs: one dialled connection to each, used in both directions.
 
 The VM whose name sorts first dials. Silence ends a link, and a fresh one is tried, so
 that a connection that went silent for good is not taken for a dead VM.
@@ -64,8 +64,12 @@
 
     def send(self, message: FleetMessage) -> None:
         """Send a message."""
+        self.send_encoded(ENCODER.encode(message))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send a message that was encoded before."""
         if self.is_open:
-            self.sendString(ENCODER.encode(message))
+            self.sendString(data)
 
     def stringReceived(self, data: bytes) -> None:  # noqa: N802
         """Take a message."""
@@ -96,7 +100,7 @@
 
 
 class PeerLinks(Service):
-    """Links to all registered VMs.
+    """Links to those VMs that this one should be linked to.
 
     Attributes
     ----------
@@ -123,7 +127,7 @@
         self._link_by_vm: dict[str, PeerLink] = {}
         self._heard_at: dict[str, float] = {}
         self._incarnation_by_vm: dict[str, str] = {}
-        self._members: dict[str, MemberRow] = {}
+        self._wanted: dict[str, MemberRow] = {}
         self._dialling: set[str] = set()
         self._port: Any = None
         self.port = settings.peer_port
@@ -143,21 +147,25 @@
         for link in list(self._link_by_vm.values()):
             link.abort()
 
-    def set_members(self, members: dict[str, MemberRow]) -> None:
-        """Take the registered VMs and dial those whose link is missing."""
-        self._members = members
+    def want(self, members: dict[str, MemberRow]) -> None:
+        """Take the VMs to be linked to, and dial those whose link is missing."""
+        self._wanted = members
         for vm in list(self._link_by_vm):
             if vm not in members:
                 self._link_by_vm.pop(vm).abort()
         self.dial_missing()
 
+    def is_wanted(self, vm: str) -> bool:
+        """Tell whether this VM should be linked to another one."""
+        return vm in self._wanted
+
     def dial_missing(self) -> None:
         """Dial VMs whose link is missing, and drop links that fell silent."""
         now = now_s()
         for vm, link in list(self._link_by_vm.items()):
             if now - self._heard_at.get(vm, now) > CONTACT_S:
                 link.abort()
-        for vm, member in self._members.items():
+        for vm, member in self._wanted.items():
             if self.hello.vm < vm and vm not in self._link_by_vm:
                 self._dial(member)
 
@@ -187,8 +195,19 @@
 
     def broadcast(self, message: FleetMessage) -> None:
         """Send a message to all linked VMs."""
+        data = ENCODER.encode(message)
         for link in list(self._link_by_vm.values()):
-            link.send(message)
+            link.send_encoded(data)
+
+    def broadcast_by_domain(
+        self, domain: str, *, inside: FleetMessage, outside: FleetMessage
+    ) -> None:
+        """Send one message to linked VMs of a failure domain, another to the others."""
+        data_inside, data_outside = ENCODER.encode(inside), ENCODER.encode(outside)
+        for vm, link in list(self._link_by_vm.items()):
+            member = self._wanted.get(vm)
+            is_inside = member is not None and member.domain == domain
+            link.send_encoded(data_inside if is_inside else data_outside)
 
     def on_hello(self, link: PeerLink) -> None:
         """Handle a VM saying who it is; a newer link replaces the older one."""
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
@@ -0,0 +1,245 @@
+"""Keeps the rates of teams over all VMs, with the other VMs of the failure domain."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred, TimeoutError
+
+from guavabarrow_core.exceptions import SessionFailure
+from guavabarrow_core.operation_rate import RateTolerance
+from guavabarrow_core.rate_pool import NeighbourView, TeamRates, Verdict
+from guavabarrow_core.session_messages import FailureCode
+from guavabarrow_daemon.fleet.fleet_messages import (
+    FleetMessage,
+    Pulse,
+    TokenGrant,
+    TokenRequest,
+)
+from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.peer_links import PeerLinks
+from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.operations.clock import now_s
+from guavabarrow_daemon.operations.decision_log import log_decision
+from guavabarrow_daemon.operations.session_metrics import SessionMetrics
+
+if TYPE_CHECKING:
+    from guavabarrow_core.fleet_state import VersionedRow
+    from guavabarrow_daemon.fleet.fleet_service import PulseDraft
+    from guavabarrow_daemon.session_settings import SessionVmSettings
+
+SILENCED_AFTER_S = 9.0
+"""A VM that is out of contact can't reach targets any longer after this time: its right
+to use primaries has lapsed, and its observations are older than any stated age."""
+
+FULL_PULSE_EVERY = 8
+"""Every so many pulses all demand is told, whatever was missed."""
+
+GRANT_TIMEOUT_S = 0.15
+"""Many times a crossing and the host's own work; a statement still has most of its
+time left."""
+
+
+class DemandNews:
+    """Finds what changed of a demand since it was told last."""
+
+    def __init__(self) -> None:
+        self._told: dict[str, float] | None = None
+        self._count = 0
+
+    def forget(self) -> None:
+        """Tell everything the next time."""
+        self._told = None
+
+    def take(self, demand_by_team: dict[str, float]) -> dict[str, Any]:
+        """Return the fields of a pulse that tell a demand."""
+        self._count += 1
+        if self._count % FULL_PULSE_EVERY == 0:
+            self._told = None
+        told, self._told = self._told, demand_by_team
+        known = told or {}
+        changed = {
+            team: demand_by_team.get(team, 0.0)
+            for team in {*demand_by_team, *known}
+            if demand_by_team.get(team, 0.0) != known.get(team)
+        }
+        return {"is_full": told is None, "demand_by_team": changed}
+
+
+class RateService(Service):
+    """Rates of teams.
+
+    Attributes
+    ----------
+    rates : TeamRates
+        Decides; this service tells it what others said.
+    """
+
+    name = "rates"
+
+    def __init__(
+        self, kernel: Kernel, settings: SessionVmSettings, reactor: Any
+    ) -> None:
+        super().__init__(kernel)
+        self._vm = settings.vm
+        self._domain = settings.domain
+        self._reactor = reactor
+        self._fleet = kernel.find(FleetService)
+        self._links = kernel.find(PeerLinks)
+        self._metrics = kernel.find(SessionMetrics)
+        tolerance = RateTolerance(
+            settings.rate_window_s, settings.rate_over, settings.rate_slack
+        )
+        self.rates = TeamRates(settings.vm, settings.domain, tolerance)
+        self._domain_by_vm: dict[str, str] = {}
+        self._news_inside = DemandNews()
+        self._news_outside = DemandNews()
+        self._number = 0
+        self._waiting: dict[int, Deferred[TokenGrant]] = {}
+
+    async def start(self) -> None:
+        """Follow configuration, members and the other VMs' demand."""
+        self._links.on_peer_up.append(self._on_peer_up)
+        self._links.on_peer_message.append(self._on_message)
+        self._fleet.on_orders.append(self._on_orders)
+        self._fleet.on_pulse.append(self._on_pulse)
+        self._fleet.on_rows.append(self._on_rows)
+        self._fleet.fill_pulse.append(self._fill_pulse)
+
+    async def admit(self, team: str) -> None:
+        """Let an operation start.
+
+        Raises
+        ------
+        SessionFailure
+            If the team is above its rate.
+        """
+        now = now_s()
+        verdict = self.rates.admit(team, now)
+        if verdict is Verdict.ASK_HOST:
+            verdict = await self._ask_host(team, now)
+        self._metrics.admissions.labels(verdict.value).inc()
+        if verdict is Verdict.REFUSED:
+            self._refuse(self.rates.describe(team), self.rates.wait_s(team))
+
+    def give_back(self, team: str) -> None:
+        """Return the token of an operation that reached no target."""
+        self.rates.give_back(team, now_s())
+
+    async def _ask_host(self, team: str, now: float) -> Verdict:
+        host = self.rates.host
+        if not self._links.is_linked(host):
+            self.rates.note_no_answer(now)
+            return self.rates.admit(team, now)
+        self._number += 1
+        number = self._number
+        answer: Deferred[TokenGrant] = Deferred()
+        answer.addTimeout(GRANT_TIMEOUT_S, self._reactor)
+        self._waiting[number] = answer
+        count = self.rates.tokens_to_ask(team, now)
+        self._links.send(host, TokenRequest(number, team, count))
+        try:
+            grant = await answer
+        except TimeoutError:
+            now = now_s()
+            log_decision("pool_unanswered", host=host, team=team)
+            self.rates.note_no_answer(now)
+            return self.rates.admit(team, now)
+        finally:
+            self._waiting.pop(number, None)
+        if self.rates.take_grant(team, grant.count, now_s()):
+            return Verdict.ADMITTED
+        self._metrics.admissions.labels(Verdict.REFUSED.value).inc()
+        self._refuse(grant.detail, grant.wait_s)
+        return Verdict.REFUSED
+
+    @staticmethod
+    def _refuse(detail: str, wait_s: float) -> None:
+        raise SessionFailure(
+            FailureCode.OVERLOADED,
+            f"above its rate: {detail}",
+            retry_after_s=wait_s,
+        )
+
+    def _on_message(self, vm: str, message: FleetMessage) -> None:
+        match message:
+            case TokenRequest(number, team, count):
+                granted = self.rates.grant(team, count, now_s())
+                grant = TokenGrant(number, granted)
+                if not granted:
+                    grant = TokenGrant(
+                        number, 0, self.rates.wait_s(team), self.rates.describe(team)
+                    )
+                self._links.send(vm, grant)
+            case TokenGrant(number):
+                answer = self._waiting.pop(number, None)
+                if answer is not None and not answer.called:
+                    answer.callback(message)
+
+    def _on_orders(self) -> None:
+        if self._fleet.configuration is not None:
+            self.rates.configure(self._fleet.configuration.rates())
+
+    def _on_peer_up(self, vm: str) -> None:
+        # A VM that is linked anew knows none of the demand told before.
+        self._news_inside.forget()
+        self._news_outside.forget()
+
+    def _on_rows(self, rows: list[VersionedRow]) -> None:
+        self._set_members()
+
+    def _set_members(self) -> None:
+        now = now_s()
+        state = self._fleet.state
+        near: set[str] = set()
+        vms_by_domain: dict[str, int] = {}
+        members = state.member_by_vm()
+        self._domain_by_vm = {vm: member.domain for vm, member in members.items()}
+        for vm, member in members.items():
+            known_out_s = now - state.out_known_at.get(vm, now)
+            if member.is_out and known_out_s >= SILENCED_AFTER_S:
+                continue
+            if member.domain == self._domain:
+                near.add(vm)
+            else:
+                count = vms_by_domain.get(member.domain, 0)
+                vms_by_domain[member.domain] = count + 1
+        self.rates.set_members(frozenset(near), vms_by_domain)
+
+    def _on_pulse(self, vm: str, pulse: Pulse) -> None:
+        now = now_s()
+        domain = self._domain_by_vm.get(vm)
+        if domain == self._domain:
+            self.rates.alone.learn(vm, pulse.demand_by_team, now, is_full=pulse.is_full)
+            if pulse.has_pool != (self.rates.host == vm):
+                self._follow(now)
+        elif domain is not None and pulse.has_pool:
+            self.rates.learn_domain(
+                domain, pulse.demand_by_team, now, is_full=pulse.is_full
+            )
+
+    def _follow(self, now: float) -> None:
+        former = self.rates.host
+        had_pool = self.rates.pool is not None
+        view_by_vm = {}
+        for vm in self._links.contacts():
+            if self._domain_by_vm.get(vm) == self._domain:
+                _, pulse = self._fleet.last_pulse(vm)
+                view_by_vm[vm] = NeighbourView(pulse.pool_host, pulse.has_pool)
+        self.rates.follow(self._fleet.observer(), view_by_vm, now)
+        if self.rates.host != former:
+            log_decision("pool_host_changed", host=self.rates.host, former=former)
+        if self.rates.pool is not None and not had_pool:
+            self._news_outside.forget()
+            self._fleet.pulse_now()
+
+    def _fill_pulse(self, draft: PulseDraft) -> None:
+        now = now_s()
+        self._set_members()
+        self._follow(now)
+        draft.inside.update(self._news_inside.take(self.rates.alone.demand(now)))
+        draft.inside["pool_host"] = self._fleet.observer()
+        if self.rates.pool is None:
+            return
+        draft.common["has_pool"] = True
+        draft.outside.update(self._news_outside.take(self.rates.pool.demand(now)))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -157,7 +157,7 @@
             case StatementKind.DEALLOCATE:
                 return self._deallocate(statement)
             case StatementKind.BEGIN | StatementKind.BEGIN_READ_ONLY:
-                return self._begin(statement, received_at)
+                return await self._begin(statement, received_at)
             case StatementKind.ROLLBACK:
                 return self._roll_back()
             case StatementKind.COMMIT:
@@ -168,10 +168,10 @@
         self._route, self._team = self._admission.look_up(self.database, self.key)
         self._began_at = received_at
 
-    def _begin(self, statement: Statement, received_at: float) -> list[Answer]:
+    async def _begin(self, statement: Statement, received_at: float) -> list[Answer]:
         if self.state is TransactionState.OPEN:
             raise SessionFailure(FailureCode.MALFORMED, "a transaction is open")
-        self._admission.admit(self._team)
+        await self._admission.rates.admit(self._team)
         self._has_token = True
         self._is_read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
         self._began_at = received_at
@@ -186,7 +186,7 @@
         if transaction is not None:
             Deferred.fromCoroutine(self._router.roll_back(transaction))
         elif self._has_token:
-            self._admission.give_back(self._team)
+            self._admission.rates.give_back(self._team)
         self._has_token = False
         return self._done()
 
@@ -235,7 +235,7 @@
                     self.abandon(reply.failure.code.value)
                 raise SessionFailure(reply.failure.code, reply.failure.detail)
             return self._answers(request, reply, received_at)
-        self._admission.admit(self._team)
+        await self._admission.rates.admit(self._team)
         self._has_token = True
         if writes:
             reply = await self._router.run_write(work, statement, shape)
@@ -299,7 +299,7 @@
         if work is None or work.has_reached_target:
             return
         self._has_token = False
-        self._admission.give_back(self._team)
+        self._admission.rates.give_back(self._team)
 
     def _done(self) -> list[Answer]:
         return [Completed(), SessionReady(self.state)]
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -25,6 +25,9 @@
         self.statements = self._counter(
             "statements", "Answers to callers by result", "consistency", "result"
         )
+        self.admissions = self._counter(
+            "admissions", "Operations by what the team's rate allowed", "verdict"
+        )
         self.latency = Histogram(
             "guavabarrow_statement_seconds",
             "Time from statement to answer",
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -19,6 +19,7 @@
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.fleet.primary_watch import PrimaryWatch
 from guavabarrow_daemon.fleet.promotion_service import PromotionService
+from guavabarrow_daemon.fleet.rate_service import RateService
 from guavabarrow_daemon.fleet.table_relay import TableRelay
 from guavabarrow_daemon.front.session_admission import SessionAdmission
 from guavabarrow_daemon.front.session_front import SessionFront
@@ -136,7 +137,8 @@
         kernel.register(TargetChooser(kernel, reactor))
         kernel.register(TargetExchange(kernel, reactor))
         kernel.register(SessionRouter(kernel, reactor))
-        kernel.register(SessionAdmission(kernel, settings))
+        kernel.register(RateService(kernel, settings, reactor))
+        kernel.register(SessionAdmission(kernel))
         kernel.register(
             SessionFront(kernel, settings, parts.create_front_codec, reactor)
         )
--- a/packages/guavabarrow-daemon/tests/test_duty_service.py
+++ b/packages/guavabarrow-daemon/tests/test_duty_service.py
@@ -43,6 +43,9 @@
     def incarnation_of(self, vm: str) -> str:
         return "1"
 
+    def is_wanted(self, vm: str) -> bool:
+        return vm != OWN
+
 
 class FakeFleet(FleetService):
     def __init__(self, kernel: Kernel) -> None:
