--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -220,6 +220,12 @@
                 else:
                     await deferLater(self._reactor, RETRY_S, lambda: None)
                 continue
+            if not self.state.is_registered():
+                # Others marked this VM as out, which it may know from them alone.
+                await self._register()
+                if not self.state.is_registered():
+                    await deferLater(self._reactor, RETRY_S, lambda: None)
+                continue
             if self._is_relayed():
                 await deferLater(self._reactor, RELAY_CHECK_S, lambda: None)
                 continue
@@ -238,8 +244,6 @@
                 continue
             self._note_store(True)
             self._hear(reading, sent_at, is_full=False)
-            if not self.state.is_registered():
-                await self._register()
 
     async def _register(self) -> None:
         own = MemberRow(
--- /dev/null
+++ b/packages/guavabarrow-daemon/tests/sim_fleet.py
@@ -0,0 +1,246 @@
+"""A fleet of VMs under virtual time that judges which primaries they would use."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+
+from sim_network import SimNetwork
+from sim_platform import (
+    SERVICE,
+    STORE_HOST,
+    SimAuthority,
+    SimDirectory,
+    SimGroup,
+    SimOrders,
+    SimQuestions,
+    SimStore,
+    SimTable,
+    SimTarget,
+)
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from guavabarrow_daemon.fleet.directory_service import DirectoryService
+from guavabarrow_daemon.fleet.duty_service import DutyService
+from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.lead_service import LeadService
+from guavabarrow_daemon.fleet.peer_links import PeerLinks
+from guavabarrow_daemon.fleet.primary_watch import PrimaryWatch
+from guavabarrow_daemon.fleet.promotion_service import PromotionService
+from guavabarrow_daemon.fleet.rate_service import RateService
+from guavabarrow_daemon.fleet.table_relay import TableRelay
+from guavabarrow_daemon.kernel import Kernel
+from guavabarrow_daemon.operations import clock
+from guavabarrow_daemon.operations.session_metrics import SessionMetrics
+from guavabarrow_daemon.session_settings import SessionVmSettings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+STEP_S = 0.01
+TRAFFIC_S = 0.05
+"""Pace at which a VM's callers would use the primary."""
+
+DOMAINS = ("east", "north", "west")
+
+
+class SimVm:
+    """One VM without callers; its callers are what the fleet asks it."""
+
+    def __init__(self, fleet: SimFleet, name: str, domain: str, lifetime: int) -> None:
+        self.name = name
+        self.domain = domain
+        self.reactor = fleet.network.reactor(name)
+        self._questions = SimQuestions(fleet.group, self.reactor)
+        settings = SessionVmSettings(
+            vm=name,
+            domain=domain,
+            host="10.0.0.1",
+            front_address="10.0.0.1:1",
+            ready_address="10.0.0.1:2",
+            store_address="10.0.0.1:3",
+            promotion_address="10.0.0.1:4",
+            peer_port=5,
+            metrics_port=6,
+        ).model_copy(update={"host": name})
+        kernel = self.kernel = Kernel()
+        reactor = self.reactor
+        kernel.register(SessionMetrics(kernel))
+        kernel.register(
+            PeerLinks(kernel, settings, reactor, incarnation=f"{name}.{lifetime}")
+        )
+        kernel.register(
+            FleetService(
+                kernel,
+                settings,
+                SimTable(fleet.store, reactor),
+                SimOrders(fleet.store, reactor),
+                reactor,
+                incarnation=f"{name}.{lifetime}",
+            )
+        )
+        kernel.register(
+            DirectoryService(
+                kernel,
+                SimDirectory(fleet.group, reactor),
+                lambda: None,
+                reactor,
+                domain=domain,
+            )
+        )
+        kernel.register(TableRelay(kernel, reactor))
+        kernel.register(LeadService(kernel, reactor))
+        kernel.register(DutyService(kernel, reactor))
+        kernel.register(PrimaryWatch(kernel, reactor))
+        authority = SimAuthority(fleet.group, reactor)
+        kernel.register(PromotionService(kernel, authority, reactor))
+        kernel.register(RateService(kernel, settings, reactor))
+        kernel.find(PrimaryWatch)._questions = self._questions
+        kernel.find(PromotionService)._questions = self._questions
+        Deferred.fromCoroutine(kernel.start())
+        self._traffic = LoopingCall(self._use_primary)
+        self._traffic.clock = reactor
+        self._traffic.start(TRAFFIC_S)
+
+    def primary(self) -> str:
+        """Return the primary that a statement would go to now, empty if none."""
+        entry = self.kernel.find(LeadService).primary(SERVICE)
+        return entry.target_id if entry is not None else ""
+
+    @property
+    def holds_duty(self) -> bool:
+        """Whether this VM may order promotions now."""
+        return self.kernel.find(DutyService).may_act()
+
+    def _use_primary(self) -> None:
+        target_id = self.primary()
+        directory = self.kernel.find(DirectoryService)
+        for target in self._questions._group.targets:
+            if target.target_id != target_id:
+                continue
+            evidence = "answered" if target.is_alive else "refused"
+            if not self._questions.reaches(target):
+                evidence = "silent"
+            directory.note_evidence(target_id, evidence)
+
+
+class SimFleet:
+    """VMs in three failure domains with a target in each.
+
+    Attributes
+    ----------
+    stale : list of str
+        Moments at which a VM would have used a primary after another one led.
+    """
+
+    def __init__(self, monkeypatch, per_domain: int = 3) -> None:
+        self.network = SimNetwork()
+        self.store = SimStore(self.network)
+        self.network.reactor(STORE_HOST)
+        targets = [
+            SimTarget(f"target-{domain}", domain, f"target-{domain}", domain == "north")
+            for domain in DOMAINS
+        ]
+        targets[1].term_led = 1
+        self.group = SimGroup(self.network, self.store, targets)
+        self.vm_by_name: dict[str, SimVm] = {}
+        self.stale: list[str] = []
+        self._lifetimes = 0
+        steady = SimpleNamespace(
+            CLOCK_BOOTTIME=0, clock_gettime=lambda clock_id: self.network.now
+        )
+        monkeypatch.setattr(clock, "time", steady)
+        for domain in DOMAINS:
+            for number in range(per_domain):
+                self.start(f"{domain}-{number}")
+
+    def start(self, name: str) -> None:
+        """Start a VM, or the next lifetime of one that was killed."""
+        self._lifetimes += 1
+        domain = name.split("-")[0]
+        self.vm_by_name[name] = SimVm(self, name, domain, self._lifetimes)
+
+    def kill(self, name: str) -> None:
+        """End a VM's process."""
+        self.network.kill(name)
+        self.vm_by_name.pop(name, None)
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass and judge every VM at each step, suspended ones included."""
+        until = self.network.now + duration_s
+        while self.network.now < until:
+            self.network.advance(STEP_S)
+            self._judge()
+
+    def run_until(self, condition: Callable[[], bool], limit_s: float) -> float:
+        """Let time pass until a condition holds, and return how long that took."""
+        began_at = self.network.now
+        while not condition():
+            assert self.network.now - began_at < limit_s, "it did not happen in time"
+            self.network.advance(STEP_S)
+            self._judge()
+        return self.network.now - began_at
+
+    def is_served_by(self, target_id: str = "") -> bool:
+        """Tell whether all VMs may use the leader, or a given target."""
+        wanted = target_id or self.group.leader.target_id
+        leads = self.group.leader.target_id == wanted and self.group.leader.is_alive
+        return leads and all(vm.primary() == wanted for vm in self.vm_by_name.values())
+
+    def settle(self) -> None:
+        """Wait until the fleet serves writes everywhere."""
+        self.run_until(self.is_served_by, 15.0)
+
+    def cut_domain(self, domain: str, *, store: bool = True) -> None:
+        """Cut a failure domain's VMs and target off from everything outside of it."""
+        inside = {
+            *(name for name in self._hosts() if name.startswith(f"{domain}-")),
+            f"target-{domain}",
+        }
+        self._cut(lambda host: host in inside, keeps_store=not store)
+
+    def cut_vm(self, name: str) -> None:
+        """Cut one VM off from everything."""
+        self._cut(lambda host: host == name)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.network.is_cut = lambda one, other: False
+
+    def target(self, domain: str) -> SimTarget:
+        """Return the target of a failure domain."""
+        return next(t for t in self.group.targets if t.domain == domain)
+
+    def holder(self) -> str:
+        """Return the VM that may order promotions, empty if none."""
+        holders = [vm.name for vm in self.vm_by_name.values() if vm.holds_duty]
+        return holders[0] if holders else ""
+
+    def assert_safe(self) -> None:
+        """Check what must hold at all times."""
+        assert self.stale == []
+        holder_by_token: dict[int, str] = {}
+        newest = 0
+        for holder, token in self.group.orders:
+            assert holder_by_token.setdefault(token, holder) == holder
+            assert token >= newest, "an older fencing token came after a newer one"
+            newest = token
+
+    def _hosts(self) -> list[str]:
+        return list(self.vm_by_name)
+
+    def _cut(self, is_inside: Callable[[str], bool], *, keeps_store=False) -> None:
+        def is_cut(one: str, other: str) -> bool:
+            if keeps_store and STORE_HOST in (one, other):
+                return False
+            return is_inside(one) != is_inside(other)
+
+        self.network.is_cut = is_cut
+
+    def _judge(self) -> None:
+        leader = self.group.leader.target_id
+        for vm in self.vm_by_name.values():
+            used = vm.primary()
+            if used and used != leader:
+                self.stale.append(f"{self.network.now:.2f} {vm.name} used {used}")
--- /dev/null
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -0,0 +1,326 @@
+"""Platform and targets in memory under virtual time, with their troubles."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.task import deferLater
+
+from guavabarrow_core.log_position import LogPosition
+from guavabarrow_core.session_configuration import ServiceLimits, SessionConfiguration
+from guavabarrow_core.session_messages import TargetStatus
+from guavabarrow_core.target_directory import TargetEntry
+from guavabarrow_daemon.store.watched_table import (
+    DirectorySource,
+    HistoryDropped,
+    OperatorOrders,
+    OperatorSource,
+    PromotionAuthority,
+    PromotionRefused,
+    StoreUnavailable,
+    TableReading,
+    TableRow,
+    WatchedTable,
+    Written,
+)
+from guavabarrow_daemon.targets.target_questions import TargetUnreachable
+
+if TYPE_CHECKING:
+    from sim_network import SimNetwork, SimReactor
+
+CALL_S = 0.004
+TIMEOUT_S = 1.0
+POLL_S = 0.02
+PROMOTION_S = 0.3
+STORE_HOST = "store"
+ENTRY_LAG_S = 2.0
+SERVICE = "orders"
+
+
+class SimStore:
+    """The platform's table.
+
+    Attributes
+    ----------
+    away_from : set of str
+        Hosts that get no answer.
+    late_s : float
+        How long writes take effect after their caller has given up, 0 for at once.
+    loses_answers : bool
+        Whether answers to writes are lost.
+    dropped_before : int
+        Changes up to this version are no longer known.
+    """
+
+    def __init__(self, network: SimNetwork) -> None:
+        self.network = network
+        self.row_by_key: dict[str, TableRow] = {}
+        self.version = 1
+        self.away_from: set[str] = set()
+        self.late_s = 0.0
+        self.loses_answers = False
+        self.dropped_before = 0
+
+    def answers(self, host: str) -> bool:
+        """Tell whether a host gets answers."""
+        is_cut = self.network.is_cut
+        return not (
+            host in self.away_from
+            or is_cut(host, STORE_HOST)
+            or is_cut(STORE_HOST, host)
+        )
+
+    def apply(self, key: str, value: bytes | None, expected: int) -> Written:
+        """Write a row under its condition."""
+        known = self.row_by_key.get(key)
+        current = known.version if known is not None and known.value is not None else 0
+        if current != expected:
+            return Written(False, 0, self.network.now)
+        self.version += 1
+        self.row_by_key[key] = TableRow(key, value, self.version)
+        return Written(True, self.version, self.network.now)
+
+    def reading(self, after: int, *, with_dropped: bool) -> TableReading:
+        """Return rows that changed after a version."""
+        rows = [
+            row
+            for row in self.row_by_key.values()
+            if row.version > after and (with_dropped or row.value is not None)
+        ]
+        return TableReading(rows, self.version, self.network.now)
+
+
+class SimTable(WatchedTable):
+    """One VM's client of the table."""
+
+    def __init__(self, store: SimStore, reactor: SimReactor) -> None:
+        self._store = store
+        self._reactor = reactor
+
+    async def read(self) -> TableReading:
+        """Read all rows."""
+        await self._reach()
+        return await self._return(self._store.reading(0, with_dropped=False))
+
+    async def watch(self, after: int, wait_s: float) -> TableReading:
+        """Wait for changes."""
+        await self._reach()
+        if after < self._store.dropped_before:
+            raise HistoryDropped
+        until = self._reactor.seconds() + wait_s
+        while self._store.version <= after and self._reactor.seconds() < until:
+            await self._pause(POLL_S)
+        return await self._return(self._store.reading(after, with_dropped=True))
+
+    async def write(self, key: str, value: bytes | None, expected: int) -> Written:
+        """Write a row."""
+        store = self._store
+        if store.late_s > 0.0:
+            clock = store.network.reactor_by_host[STORE_HOST]
+            clock.callLater(store.late_s, store.apply, key, value, expected)
+            await self._pause(TIMEOUT_S)
+            raise StoreUnavailable("no answer", is_undone=False)
+        await self._reach()
+        written = store.apply(key, value, expected)
+        if store.loses_answers:
+            await self._pause(TIMEOUT_S)
+            raise StoreUnavailable("the answer was lost", is_undone=False)
+        return await self._return(written)
+
+    async def _reach(self) -> None:
+        if not self._store.answers(self._reactor.host):
+            await self._pause(TIMEOUT_S)
+            raise StoreUnavailable("no answer", is_undone=True)
+        await self._pause(CALL_S / 2)
+
+    async def _return(self, answer: Any) -> Any:
+        await self._pause(CALL_S / 2)
+        if not self._store.answers(self._reactor.host):
+            raise StoreUnavailable("no answer", is_undone=False)
+        return answer
+
+    async def _pause(self, duration_s: float) -> None:
+        await deferLater(self._reactor, duration_s, lambda: None)
+
+
+class SimOrders(OperatorSource):
+    """Operators' table: one configuration, nothing evacuated."""
+
+    def __init__(self, store: SimStore, reactor: SimReactor) -> None:
+        self._table = SimTable(store, reactor)
+        self._reactor = reactor
+        self.orders = OperatorOrders(
+            SessionConfiguration(1, limits_by_service={SERVICE: ServiceLimits()}),
+            frozenset(),
+        )
+
+    async def read(self) -> tuple[OperatorOrders, TableReading]:
+        """Read everything."""
+        await self._table.read()
+        return self.orders, TableReading([], 1, self._reactor.network.now)
+
+    async def watch(
+        self, after: int, wait_s: float
+    ) -> tuple[OperatorOrders | None, TableReading]:
+        """Wait; nothing changes."""
+        await self._table.read()
+        await deferLater(self._reactor, wait_s, lambda: None)
+        return None, TableReading([], 1, self._reactor.network.now)
+
+    def decode(self, rows: list[TableRow]) -> OperatorOrders | None:
+        """Return the orders."""
+        return self.orders
+
+
+@dataclass
+class SimTarget:
+    """One target of the group."""
+
+    target_id: str
+    domain: str
+    host: str
+    is_primary: bool
+    term: int = 1
+    term_led: int = 0
+    is_alive: bool = True
+    died_at: float = float("-inf")
+
+
+@dataclass
+class SimGroup:
+    """A service of three targets, and the call that promotes one."""
+
+    network: SimNetwork
+    store: SimStore
+    targets: list[SimTarget]
+    orders: list[tuple[str, int]] = field(default_factory=list)
+
+    @property
+    def leader(self) -> SimTarget:
+        """Target whose term is the newest among those that ever led."""
+        return max((t for t in self.targets if t.term_led), key=lambda t: t.term_led)
+
+    def crash(self, target: SimTarget) -> None:
+        """End a target's process."""
+        target.is_alive = False
+        target.died_at = self.network.now
+
+    def restart(self, target: SimTarget) -> None:
+        """Start it again; it follows whoever leads."""
+        target.is_alive = True
+        if self.leader is not target:
+            target.is_primary = False
+
+    def lead(self, target: SimTarget) -> None:
+        """Let a promotion take effect."""
+        if not target.is_alive or target is self.leader:
+            return
+        target.is_primary = True
+        target.term = target.term_led = max(t.term for t in self.targets) + 1
+
+
+class SimDirectory(DirectorySource):
+    """List of registered targets, which lags."""
+
+    def __init__(self, group: SimGroup, reactor: SimReactor) -> None:
+        self._group = group
+        self._table = SimTable(group.store, reactor)
+        self._reactor = reactor
+
+    async def read(self) -> tuple[list[TargetEntry], list[str]]:
+        """Return the entries."""
+        await self._table.read()
+        now = self._reactor.network.now
+        entries = [
+            TargetEntry(
+                target.target_id,
+                SERVICE,
+                target.domain,
+                target.host,
+                1,
+                False,
+                target.is_primary,
+            )
+            for target in self._group.targets
+            if target.is_alive or now - target.died_at < ENTRY_LAG_S
+        ]
+        return entries, []
+
+
+class SimAuthority(PromotionAuthority):
+    """The call that promotes; it answers before the promotion takes effect."""
+
+    def __init__(self, group: SimGroup, reactor: SimReactor) -> None:
+        self._group = group
+        self._reactor = reactor
+
+    async def promote(
+        self, service: str, target_id: str, *, holder: str, fencing_token: int
+    ) -> None:
+        """Order a promotion."""
+        group = self._group
+        target = next(t for t in group.targets if t.target_id == target_id)
+        await deferLater(self._reactor, CALL_S, lambda: None)
+        group.orders.append((holder, fencing_token))
+        if not target.is_alive:
+            raise PromotionRefused(target_id)
+        clock = group.network.reactor_by_host[STORE_HOST]
+        clock.callLater(PROMOTION_S, group.lead, target)
+
+
+class SimQuestions:
+    """Questions to targets without connections."""
+
+    def __init__(self, group: SimGroup, reactor: SimReactor) -> None:
+        self._group = group
+        self._reactor = reactor
+
+    def reaches(self, target: SimTarget) -> bool:
+        """Tell whether a target can be reached from this VM."""
+        is_cut = self._group.network.is_cut
+        own = self._reactor.host
+        return not (is_cut(own, target.host) or is_cut(target.host, own))
+
+    async def dial(self, entry: TargetEntry) -> Any:
+        """Open a connection."""
+        target = self._find(entry)
+        await deferLater(self._reactor, CALL_S, lambda: None)
+        if not self.reaches(target):
+            await deferLater(self._reactor, 0.35, lambda: None)
+            raise TargetUnreachable(entry.target_id, "silent", is_refused=False)
+        if not target.is_alive:
+            raise TargetUnreachable(entry.target_id, "refused", is_refused=True)
+        return _Closable()
+
+    async def status(self, entry: TargetEntry) -> TargetStatus | None:
+        """Ask where a log ends."""
+        try:
+            await self.dial(entry)
+        except TargetUnreachable:
+            return None
+        target = self._find(entry)
+        return TargetStatus(target.is_primary, target.term, LogPosition(1, 1))
+
+    async def statuses(self, entries: list[TargetEntry]) -> dict[str, TargetStatus]:
+        """Ask several."""
+        found = {}
+        for entry in entries:
+            status = await self.status(entry)
+            if status is not None:
+                found[entry.target_id] = status
+        return found
+
+    async def demote(self, entry: TargetEntry, term: int) -> None:
+        """Tell a target to stop leading."""
+        target = self._find(entry)
+        if self.reaches(target) and target.is_alive and term > target.term:
+            target.is_primary, target.term = False, term
+
+    def _find(self, entry: TargetEntry) -> SimTarget:
+        return next(t for t in self._group.targets if t.target_id == entry.target_id)
+
+
+class _Closable:
+    def close(self) -> None:
+        pass
--- /dev/null
+++ b/packages/guavabarrow-daemon/tests/test_fleet_faults.py
@@ -0,0 +1,279 @@
+"""Whole fleets under virtual time: cuts, silence, and a store that misbehaves.
+
+Every VM is asked at each hundredth of a second which primary a statement would go to.
+None may name one after another has led, in touch or not.
+"""
+
+from __future__ import annotations
+
+import numpy as np
+import pytest
+from sim_fleet import DOMAINS, SimFleet
+
+from guavabarrow_core import fleet_state
+from guavabarrow_core.fleet_state import FleetState
+
+FAILOVER_S = 4.0
+"""Detection, agreement of all VMs in reach, promotion and settling, with a margin."""
+
+CUT_FAILOVER_S = 12.0
+"""The same while a VM can't be reached: its right must have lapsed first."""
+
+RECOVERY_S = 15.0
+"""Time in which the deployments want service back."""
+
+
+@pytest.fixture
+def fleet(monkeypatch) -> SimFleet:
+    fleet = SimFleet(monkeypatch)
+    fleet.settle()
+    fleet.run(3.0)
+    return fleet
+
+
+def test_a_crashed_primary_is_replaced(fleet):
+    fleet.group.crash(fleet.target("north"))
+    fleet.run_until(fleet.is_served_by, FAILOVER_S)
+    fleet.assert_safe()
+
+
+def test_two_primaries_that_crash_in_a_row_are_replaced(fleet):
+    first = fleet.group.leader
+    fleet.group.crash(first)
+    fleet.run_until(fleet.is_served_by, FAILOVER_S)
+    fleet.group.restart(first)
+    fleet.run(0.1)
+    fleet.group.crash(fleet.group.leader)
+    fleet.run_until(fleet.is_served_by, FAILOVER_S)
+    fleet.assert_safe()
+
+
+def test_the_next_primary_crashes_while_it_is_promoted(fleet):
+    fleet.group.crash(fleet.group.leader)
+    fleet.run_until(lambda: bool(fleet.group.orders), FAILOVER_S)
+    fleet.run(0.35)
+    if fleet.group.leader.domain != "north":
+        fleet.group.crash(fleet.group.leader)
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
+def test_the_holder_of_the_duty_dies_with_the_primary(fleet):
+    fleet.kill(fleet.holder())
+    fleet.group.crash(fleet.group.leader)
+    fleet.run_until(fleet.is_served_by, CUT_FAILOVER_S)
+    fleet.assert_safe()
+
+
+def test_writes_that_the_store_applies_late_move_nothing_twice(fleet):
+    """The mark of a promotion is written after its caller has given up."""
+    fleet.store.late_s = 2.5
+    fleet.group.crash(fleet.group.leader)
+    fleet.run(5.0)
+    fleet.store.late_s = 0.0
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.run(5.0)
+    fleet.assert_safe()
+    assert fleet.is_served_by()
+
+
+def test_answers_that_the_store_loses_are_made_up_for(fleet):
+    fleet.store.loses_answers = True
+    fleet.group.crash(fleet.group.leader)
+    fleet.run(5.0)
+    fleet.store.loses_answers = False
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
+def test_a_store_that_dropped_its_history_is_read_in_full(fleet):
+    fleet.store.dropped_before = 10**6
+    fleet.group.crash(fleet.group.leader)
+    fleet.run(3.0)
+    fleet.store.dropped_before = fleet.store.version
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
+def test_all_vms_serve_while_the_store_is_away_for_a_short_time(fleet):
+    fleet.store.away_from = set(fleet.vm_by_name)
+    fleet.run(4.0)
+    assert fleet.is_served_by()
+    fleet.store.away_from = set()
+    fleet.run(5.0)
+    assert fleet.is_served_by()
+    fleet.assert_safe()
+
+
+def test_vms_that_the_store_turns_away_hear_of_a_promotion_from_others(fleet):
+    fleet.store.away_from = {"east-0", "north-1", "west-2"}
+    fleet.run(10.0)
+    assert fleet.is_served_by()
+    fleet.group.crash(fleet.group.leader)
+    fleet.run_until(fleet.is_served_by, FAILOVER_S)
+    fleet.assert_safe()
+
+
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize("domain", DOMAINS)
+def test_a_domain_that_is_cut_off(fleet, domain, resets):
+    """The others get a primary; the cut side uses none once its right has lapsed."""
+    fleet.network.resets = resets
+    fleet.cut_domain(domain)
+    fleet.run(12.0)
+    inside = [vm for vm in fleet.vm_by_name.values() if vm.domain == domain]
+    outside = [vm for vm in fleet.vm_by_name.values() if vm.domain != domain]
+    leader = fleet.group.leader.target_id
+    assert all(vm.primary() == leader for vm in outside)
+    assert all(vm.primary() == "" for vm in inside)
+    fleet.heal()
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
+def test_a_vm_that_is_cut_off_while_the_primary_is_replaced(fleet):
+    fleet.cut_vm("west-1")
+    fleet.run(0.5)
+    fleet.group.crash(fleet.group.leader)
+    fleet.run(CUT_FAILOVER_S)
+    others = [vm for vm in fleet.vm_by_name.values() if vm.name != "west-1"]
+    assert all(vm.primary() == fleet.group.leader.target_id for vm in others)
+    assert fleet.vm_by_name["west-1"].primary() == ""
+    fleet.heal()
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
+def test_a_vm_that_hears_the_others_but_is_not_heard(fleet):
+    fleet.network.is_cut = lambda one, other: one == "west-1"
+    fleet.run(0.5)
+    fleet.group.crash(fleet.group.leader)
+    fleet.run(CUT_FAILOVER_S)
+    fleet.heal()
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
+def test_connections_that_go_silent_for_good_are_replaced(fleet):
+    holder = fleet.holder()
+    fleet.network.silence_connections(holder)
+    fleet.run(4.0)
+    fleet.group.crash(fleet.group.leader)
+    fleet.run_until(fleet.is_served_by, FAILOVER_S)
+    fleet.assert_safe()
+
+
+def test_a_suspended_vm_that_wakes_uses_no_primary_that_was_replaced(fleet):
+    fleet.network.suspended = {"east-1"}
+    fleet.run(0.5)
+    fleet.group.crash(fleet.group.leader)
+    fleet.run(CUT_FAILOVER_S)
+    fleet.network.suspended = set()
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
+def test_all_vms_start_again_at_once(fleet):
+    for name in list(fleet.vm_by_name):
+        fleet.kill(name)
+    fleet.group.crash(fleet.group.leader)
+    for domain in DOMAINS:
+        for number in range(3):
+            fleet.start(f"{domain}-{number}")
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
+@pytest.mark.parametrize("fault", ["lapse", "registration", "mark"])
+def test_the_judge_sees_a_fleet_that_breaks_the_rule(fleet, monkeypatch, fault):
+    """Broken builds: no wait for VMs out of reach, rights for all, no look at marks."""
+    if fault == "lapse":
+        monkeypatch.setattr(FleetState, "has_lapsed", lambda *arguments: True)
+    elif fault == "registration":
+        monkeypatch.setattr(fleet_state, "PRIMARY_RIGHT_S", 60.0)
+        monkeypatch.setattr(
+            FleetState, "has_lapsed", lambda self, member, at, now: now > at + 6.0
+        )
+    else:
+        monkeypatch.setattr(
+            FleetState, "may_use_primary", lambda self, service, now: True
+        )
+    fleet.cut_vm("west-1")
+    fleet.run(0.5)
+    fleet.group.crash(fleet.group.leader)
+    fleet.run(CUT_FAILOVER_S)
+    with pytest.raises(AssertionError):
+        fleet.assert_safe()
+
+
+def test_a_large_fleet_has_one_primary_through_a_cut(monkeypatch):
+    """24 VMs a domain are not linked to all others."""
+    fleet = SimFleet(monkeypatch, per_domain=8)
+    fleet.settle()
+    fleet.run(2.0)
+    fleet.kill(fleet.holder())
+    fleet.group.crash(fleet.group.leader)
+    fleet.run_until(fleet.is_served_by, CUT_FAILOVER_S)
+    fleet.assert_safe()
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_random_troubles_in_overlap(monkeypatch, seed):
+    fleet = SimFleet(monkeypatch)
+    fleet.settle()
+    rng = np.random.default_rng(seed)
+    for _ in range(8):
+        trouble(fleet, rng)
+        fleet.run(float(rng.uniform(0.2, 5.0)))
+    calm(fleet)
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
+def trouble(fleet: SimFleet, rng) -> None:
+    """Begin or end one trouble."""
+    names = sorted(fleet.vm_by_name)
+    some = {str(name) for name in rng.choice(names, rng.integers(1, 5), replace=False)}
+    match rng.integers(0, 12):
+        case 0:
+            alive = [t for t in fleet.group.targets if t.is_alive]
+            if len(alive) == len(fleet.group.targets):
+                fleet.group.crash(fleet.group.leader)
+        case 1:
+            for target in fleet.group.targets:
+                if not target.is_alive:
+                    fleet.group.restart(target)
+        case 2:
+            fleet.cut_domain(str(rng.choice(DOMAINS)), store=bool(rng.integers(2)))
+        case 3:
+            fleet.cut_vm(names[rng.integers(len(names))])
+        case 4:
+            fleet.heal()
+        case 5:
+            fleet.store.away_from = some if rng.integers(2) else set(names)
+        case 6:
+            fleet.store.away_from = set()
+        case 7:
+            fleet.store.late_s = 0.0 if fleet.store.late_s else rng.uniform(0.5, 3.0)
+        case 8:
+            fleet.store.loses_answers = not fleet.store.loses_answers
+        case 9:
+            fleet.network.suspended = set() if fleet.network.suspended else some
+        case 10:
+            name = names[rng.integers(len(names))]
+            fleet.kill(name)
+            fleet.start(name)
+        case 11:
+            fleet.network.silence_connections(names[rng.integers(len(names))])
+
+
+def calm(fleet: SimFleet) -> None:
+    """End all troubles."""
+    fleet.heal()
+    fleet.store.away_from = set()
+    fleet.store.late_s = 0.0
+    fleet.store.loses_answers = False
+    fleet.network.suspended = set()
+    for target in fleet.group.targets:
+        if not target.is_alive:
+            fleet.group.restart(target)
