--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -12,6 +12,8 @@
     DUTY_KEY,
     DUTY_RIGHT_S,
     DutyRow,
+    MemberRow,
+    VersionedRow,
     member_key,
 )
 from guavabarrow_core.peer_topology import anchors_by_domain
@@ -30,12 +32,23 @@
 """Silence after which a VM is marked as out, so that a later replacement of a
 primary need not wait for it."""
 
+MARK_AGAIN_S = 8.0
+"""Pause before a VM that registered again, although it is still silent, is marked once
+more; it then serves through the store alone."""
+
 HOLDER_SILENT_S = 0.3
 """Silence of the holder, beyond the end of contact, after which others step in."""
 
 MAX_TABLE_AGE_S = 1.6
 """Age of the shared table above which this VM may itself be cut off."""
 
+MINORITY_S = 4.0
+"""Further wait of VMs that reach less than half of the others: if those are alive, they
+mark these as out within this time."""
+
+MARKED_S = 10.0
+"""Time for which a VM that was marked as out leaves the duty to those who did it."""
+
 VACANT_S = 0.1
 TAKEOVER_STEP_S = 0.2
 """Later candidates for the duty wait this much longer each."""
@@ -67,10 +80,12 @@
         self._acts_from: float | None = None
         self._is_writing = False
         self._has_handed_over = False
+        self._marked_out_at = float("-inf")
         self._checks: LoopingCall | None = None
 
     async def start(self) -> None:
         """Begin to check."""
+        self._fleet.on_rows.append(self._on_rows)
         self._checks = LoopingCall(self._check)
         self._checks.clock = self._reactor
         self._checks.start(CHECK_S, now=False)
@@ -142,9 +157,35 @@
             self._holder_lost_at = now
         rank = self._rank(contacts)
         patience_s = HOLDER_SILENT_S if has_holder else VACANT_S
+        if has_holder and not self._reaches_most(contacts):
+            if now - self._marked_out_at < MARKED_S:
+                return
+            patience_s += MINORITY_S
         if now - self._holder_lost_at >= patience_s + rank * TAKEOVER_STEP_S:
             self._take(acts_in_s=DUTY_RIGHT_S if has_holder else 0.0)
 
+    def _reaches_most(self, contacts: frozenset[str]) -> bool:
+        """Tell whether this VM is on the larger side of a cut, if there is one."""
+        own = self._fleet.state.vm
+        wanted = {
+            vm
+            for vm, member in self._fleet.state.member_by_vm().items()
+            if self._links.is_wanted(vm) and not member.is_out
+        }
+        reached = len(wanted & contacts) + 1
+        total = len(wanted) + 1
+        if 2 * reached == total:
+            return min(wanted | {own}) in contacts | {own}
+        return 2 * reached > total
+
+    def _on_rows(self, rows: list[VersionedRow]) -> None:
+        for row in rows:
+            member = row.row
+            if not isinstance(member, MemberRow):
+                continue
+            if member.vm == self._fleet.state.vm and member.is_out:
+                self._marked_out_at = now_s()
+
     def _rank(self, contacts: frozenset[str]) -> int:
         """Return how many candidates come first; anchors are linked to everybody."""
         anchors = {
@@ -192,7 +233,7 @@
         for vm, member in self._fleet.state.member_by_vm().items():
             since = self._silent_since.get(vm, now)
             marked_at = self._marked_at.get(vm, float("-inf"))
-            is_due = now - max(since, marked_at) > OUT_AFTER_S
+            is_due = now - since > OUT_AFTER_S and now - marked_at > MARK_AGAIN_S
             if is_due and not member.is_out:
                 self._marked_at[vm] = now
                 out = replace(member, is_out=True)
--- a/packages/guavabarrow-daemon/tests/test_fleet_faults.py
+++ b/packages/guavabarrow-daemon/tests/test_fleet_faults.py
@@ -131,6 +131,16 @@
     fleet.assert_safe()
 
 
+def test_a_domain_that_reaches_only_the_store(fleet):
+    fleet.cut_domain("north", store=False)
+    fleet.run(12.0)
+    outside = [vm for vm in fleet.vm_by_name.values() if vm.domain != "north"]
+    assert all(vm.primary() == fleet.group.leader.target_id for vm in outside)
+    fleet.heal()
+    fleet.run_until(fleet.is_served_by, RECOVERY_S)
+    fleet.assert_safe()
+
+
 def test_a_vm_that_is_cut_off_while_the_primary_is_replaced(fleet):
     fleet.cut_vm("west-1")
     fleet.run(0.5)
