--- a/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/operation_rate.py
@@ -398,6 +398,23 @@
             if demand > 0.0:
                 pool._bucket(team, rate, now).demand_per_s = demand
 
+    def take_tokens(self, now: float) -> dict[str, float]:
+        """Hand over all tokens, and start again without any."""
+        tokens_by_team = {
+            team: bucket.tokens
+            for team, bucket in self._bucket_by_team.items()
+            if bucket.tokens > 0.0
+        }
+        self.empty(now)
+        return tokens_by_team
+
+    def add_tokens(self, tokens_by_team: dict[str, float], now: float) -> None:
+        """Take tokens that were left elsewhere."""
+        for team, tokens in tokens_by_team.items():
+            rate = self._rate_by_team.get(team)
+            if rate is not None:
+                self._bucket(team, rate, now).tokens += tokens
+
     def empty(self, now: float) -> None:
         """Start again without tokens, because others have spent them."""
         self.empty_from = now
--- a/packages/guavabarrow-core/src/guavabarrow_core/rate_pool.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/rate_pool.py
@@ -254,11 +254,18 @@
     def _use(self, host: str, now: float) -> None:
         if host == self.host:
             return
-        if not host and now >= self._alone_until:
+        was_alone = not self.host or now < self._alone_until
+        tokens_by_team = self.alone.take_tokens(now) if was_alone and host else {}
+        if not was_alone:
             self.alone.empty(now)
         self.host = host
-        self._stock_by_team.clear()
         self._alone_until = float("-inf")
+        if self.pool is not None:
+            self.pool.add_tokens(tokens_by_team, now)
+            tokens_by_team = {}
+        self._stock_by_team = {
+            team: TokenStock(tokens, now) for team, tokens in tokens_by_team.items()
+        }
 
     def _open(self, now: float) -> None:
         pool = OperationRates(
--- a/packages/guavabarrow-core/tests/test_rate_pool.py
+++ b/packages/guavabarrow-core/tests/test_rate_pool.py
@@ -230,6 +230,37 @@
     assert len(fleet.admitted_at) >= 0.8 * fleet.asked
 
 
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("size", SIZES)
+def test_callers_are_admitted_soon_after_all_vms_started_again(seed, size):
+    """Seen on a played day: VMs that opened a pool too soon lost all their tokens.
+
+    Load: a team at its usual pace while all VMs return from a loss of power. A new
+    lifetime has the tokens of a second; the pools open with the second pulse.
+    """
+    rng = np.random.default_rng(seed)
+    fleet = Fleet(size, TeamRate(126.0, 126.0))
+    shares = weights(rng, size)
+    fleet.play(rng, 0.0, 8.0, 126 / 1.6, shares)
+    fleet.restart_all()
+    fleet.admitted_at.clear()
+    fleet.asked = 0
+    fleet.play(rng, 9.0, 4.0, 126 / 1.6, shares)
+    assert len(fleet.admitted_at) >= 0.9 * fleet.asked
+
+
+def test_tokens_that_a_vm_had_alone_go_along_into_the_pool():
+    host, guest = (TeamRates(f"vm-{n}", "north", TOLERANCE) for n in (0, 1))
+    for rates in (host, guest):
+        rates.configure({TEAM: TeamRate(20.0, 20.0)})
+        rates.set_members(frozenset({"vm-0", "vm-1"}), {})
+        assert rates.admit(TEAM, 0.0) is Verdict.ADMITTED
+    host.follow("vm-0", {"vm-1": NeighbourView("vm-0", False)}, 0.1)
+    guest.follow("vm-0", {"vm-0": NeighbourView("vm-0", True)}, 0.1)
+    assert host.admit(TEAM, 0.1) is Verdict.ADMITTED
+    assert guest.admit(TEAM, 0.1) is Verdict.ADMITTED
+
+
 def test_a_host_does_not_open_before_the_others_left_the_former_one():
     rates = TeamRates("vm-1", "north", TOLERANCE)
     rates.configure({TEAM: TeamRate(10.0, 10.0)})
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -42,6 +42,10 @@
 MAX_TABLE_AGE_S = 1.6
 """Age of the shared table above which this VM may itself be cut off."""
 
+LEARN_S = 2.0
+"""Time in which a VM that just started links to the others; until then it can't tell
+whether the holder is silent."""
+
 MINORITY_S = 4.0
 """Further wait of VMs that reach less than half of the others: if those are alive, they
 mark these as out within this time."""
@@ -81,6 +85,7 @@
         self._is_writing = False
         self._has_handed_over = False
         self._marked_out_at = float("-inf")
+        self._registered_at: float | None = None
         self._checks: LoopingCall | None = None
 
     async def start(self) -> None:
@@ -114,6 +119,8 @@
         if state.version == 0 or not state.is_registered():
             return
         now = now_s()
+        if self._registered_at is None:
+            self._registered_at = now
         self._track_silence(now)
         if not state.holds_duty(now):
             self._consider(now)
@@ -140,12 +147,14 @@
                 self._take(acts_in_s=0.0)
             return
         self._acts_from = None
-        if self._fleet.table_age_s() > MAX_TABLE_AGE_S:
-            # A VM that was cut off can't tell whether the holder is silent.
+        has_holder = duty is not None and bool(duty.holder)
+        is_new = now - (self._registered_at or now) < LEARN_S
+        if self._fleet.table_age_s() > MAX_TABLE_AGE_S or (has_holder and is_new):
+            # A VM that was cut off, or just started, can't tell whether the holder is
+            # silent.
             self._holder_lost_at = None
             return
         contacts = self._links.contacts()
-        has_holder = duty is not None and bool(duty.holder)
         if (
             duty is not None
             and duty.holder in contacts
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
@@ -219,6 +219,9 @@
             )
 
     def _follow(self, now: float) -> None:
+        if not self._fleet.state.is_registered():
+            # Who the neighbours are is not known yet.
+            return
         former = self.rates.host
         had_pool = self.rates.pool is not None
         view_by_vm = {}
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/target/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Interface to database groups."""
--- a/packages/guavabarrow-daemon/tests/test_duty_service.py
+++ b/packages/guavabarrow-daemon/tests/test_duty_service.py
@@ -20,6 +20,7 @@
 from guavabarrow_daemon.fleet.duty_service import (
     CHECK_S,
     HOLDER_SILENT_S,
+    LEARN_S,
     MINORITY_S,
     OUT_AFTER_S,
     TAKEOVER_STEP_S,
@@ -88,17 +89,20 @@
 class World:
     """One VM whose clock the test moves."""
 
-    def __init__(self, monkeypatch) -> None:
+    def __init__(self, monkeypatch, in_contact: frozenset[str] | None = None) -> None:
         self.clock = Clock()
         monkeypatch.setattr(duty_service, "now_s", self.clock.seconds)
         self.kernel = Kernel()
         self.links = FakeLinks(self.kernel)
+        if in_contact is not None:
+            self.links.in_contact = in_contact
         self.fleet = FakeFleet(self.kernel)
         self.kernel.register(self.links)
         self.kernel.register(self.fleet)
         self.duty = DutyService(self.kernel, self.clock)
         for _ in self.duty.start().__await__():
             raise AssertionError("starting the service must not wait")
+        self.pass_time(LEARN_S + CHECK_S)
 
     def pass_time(self, duration_s: float) -> None:
         for _ in range(round(duration_s / CHECK_S)):
@@ -125,6 +129,12 @@
     assert world.duty.may_act()
 
 
+def test_a_vm_that_just_started_does_not_take_the_duty_for_want_of_links(monkeypatch):
+    """Seen after a loss of power: five VMs took the duty from one another."""
+    world = World(monkeypatch, in_contact=frozenset())
+    assert world.fleet.written == []
+
+
 def test_a_vm_that_was_cut_off_takes_nothing_over(world):
     """Seen when a cut healed: a takeover stalled a promotion for 3 s."""
     world.links.in_contact = frozenset()
