--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -33,7 +33,7 @@
 from guavabarrow_cli.run_in_reactor import run_in_reactor
 from guavabarrow_core.request_id import create_request_id
 from guavabarrow_daemon.http.client_connection import open_connection
-from guavabarrow_daemon.target.messages import Connect, Execute
+from guavabarrow_daemon.targets.http_messages import Connect, Execute
 
 CALLERS = (1, 16, 64)
 DURATION_S = 4.0
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/standins/database_engine.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/standins/database_engine.py
@@ -12,7 +12,7 @@
 from guavabarrow_core.exceptions import GuavabarrowError
 from guavabarrow_core.log_position import Lineage, LogPosition, TermStart
 from guavabarrow_core.request_id import RETENTION_S
-from guavabarrow_daemon.target.messages import (
+from guavabarrow_daemon.targets.http_messages import (
     CODE_BEHIND,
     CODE_ID_REUSED,
     CODE_MUST_NOT_RUN,
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/standins/database_server.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/standins/database_server.py
@@ -18,7 +18,7 @@
 from guavabarrow_cli.standins.log_shipper import LogShipper
 from guavabarrow_core.exceptions import GuavabarrowError
 from guavabarrow_daemon.http.site import Routes, TrackedSite, answer_json
-from guavabarrow_daemon.target.messages import (
+from guavabarrow_daemon.targets.http_messages import (
     CODE_NO_TRANSACTION,
     CODE_TOO_MANY_CONNECTIONS,
     CODE_UNAUTHENTICATED,
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/standins/log_shipper.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/standins/log_shipper.py
@@ -14,7 +14,7 @@
     HttpClientConnection,
     open_connection,
 )
-from guavabarrow_daemon.target.messages import Replicate, ReplicateAnswer
+from guavabarrow_daemon.targets.http_messages import Replicate, ReplicateAnswer
 
 if TYPE_CHECKING:
     from guavabarrow_cli.standins.database_engine import DatabaseEngine
--- a/packages/guavabarrow-cli/tests/test_database_engine.py
+++ b/packages/guavabarrow-cli/tests/test_database_engine.py
@@ -2,7 +2,7 @@
 
 from guavabarrow_cli.standins.database_engine import DatabaseEngine, EngineProblem
 from guavabarrow_core.log_position import LogPosition
-from guavabarrow_daemon.target.messages import (
+from guavabarrow_daemon.targets.http_messages import (
     CODE_BEHIND,
     CODE_ID_REUSED,
     CODE_MUST_NOT_RUN,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
@@ -35,18 +35,19 @@
 )
 from guavabarrow_daemon.configuration_service import ConfigurationService
 from guavabarrow_daemon.drain_service import DrainService
+from guavabarrow_daemon.front.interface import CallerFront
 from guavabarrow_daemon.http.site import Routes, TrackedSite, answer
-from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.key_service import OPEN_OWNER, KeyService
 from guavabarrow_daemon.ledger_service import OPEN_LIMITS, LedgerService
 from guavabarrow_daemon.metrics import Metrics
 from guavabarrow_daemon.statement_service import StatementService
-from guavabarrow_daemon.target.messages import Execute, Result
+from guavabarrow_daemon.targets.http_messages import Execute, Result
 from guavabarrow_daemon.transaction_service import TransactionService
 
 if TYPE_CHECKING:
     from guavabarrow_core.key_ring import KeyOwner
     from guavabarrow_daemon.http.site import MemoryRequest as Request
+    from guavabarrow_daemon.kernel import Kernel
     from guavabarrow_daemon.settings import Settings
 
 UNKNOWN_TEAM = "unknown"
@@ -74,7 +75,7 @@
     ran: Ran = Ran.RAN
 
 
-class CallerApi(Service):
+class CallerApi(CallerFront):
     """Owner of the listening port for callers.
 
     Parameters
@@ -128,6 +129,20 @@
         for channel in list(self._site.channels):
             channel.loseConnection()
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send new callers here."""
+        return self._drain.is_ready
+
+    @property
+    def open_work(self) -> int:
+        """Requests and transactions that are not over."""
+        return self._drain.in_progress + len(self._transactions)
+
+    async def drain(self) -> None:
+        """Take no new work, and wait for running work within the grace."""
+        await self._drain.drain()
+
     def _routes(self) -> Routes:
         routes = Routes(self._handle)
         routes.add("GET", "/healthz", self._health)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
@@ -29,11 +29,7 @@
 from guavabarrow_daemon.peer_messages import PullConfiguration, PushConfiguration
 from guavabarrow_daemon.peers import Peers
 from guavabarrow_daemon.state_log import log_state
-from guavabarrow_daemon.store.interface import (
-    ObjectStore,
-    PlatformUnavailable,
-    TableService,
-)
+from guavabarrow_daemon.store.exceptions import StoreUnavailable
 from guavabarrow_daemon.store.messages import Condition, Put, Read, Transact
 
 if TYPE_CHECKING:
@@ -42,6 +38,10 @@
     from guavabarrow_core.fleet import Fleet
     from guavabarrow_core.fleet_change import Change
     from guavabarrow_daemon.settings import Settings
+    from guavabarrow_daemon.store.interface import (
+        ObjectStore,
+        TableService,
+    )
 
 HEAD_KEY = "config/head"
 REVISION_PREFIX = "config/revision/"
@@ -190,7 +190,7 @@
         for attempt in range(READ_ATTEMPTS):
             try:
                 await self._refresh()
-            except PlatformUnavailable as error:
+            except StoreUnavailable as error:
                 if attempt + 1 < READ_ATTEMPTS:
                     continue
                 raise ConfigurationError(
@@ -219,7 +219,7 @@
                     return ChainRead(tuple(rows))
                 case WriteRevision(revision):
                     return WriteAnswered(await self._write_revision(revision))
-        except PlatformUnavailable:
+        except StoreUnavailable:
             return AnswerLost()
         return AnswerLost()
 
@@ -256,7 +256,7 @@
                     puts=[Put(HEAD_KEY, _text(Head(head.version, version)))],
                 )
             )
-        except PlatformUnavailable:
+        except StoreUnavailable:
             return
 
     async def _read_revisions(self, after_version: int) -> list[Revision]:
@@ -275,7 +275,7 @@
     async def _poll_store(self) -> None:
         try:
             await self._refresh()
-        except PlatformUnavailable:
+        except StoreUnavailable:
             return
 
     async def _refresh(self) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/entry_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/entry_vm.py
@@ -23,7 +23,7 @@
 from guavabarrow_daemon.state_log import log_state
 from guavabarrow_daemon.statement_service import StatementService
 from guavabarrow_daemon.store.http_client import HttpPlatform
-from guavabarrow_daemon.target.http_driver import HttpTargetDriver
+from guavabarrow_daemon.targets.http_driver import HttpTargetDriver
 from guavabarrow_daemon.transaction_service import TransactionService
 
 if TYPE_CHECKING:
@@ -97,7 +97,7 @@
 
     async def drain(self) -> None:
         """Take no new work and wait until running work has ended."""
-        await self.kernel.find(DrainService).drain()
+        await self.kernel.find(CallerApi).drain()
 
     async def stop(self) -> None:
         """Stop all services."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -18,8 +18,9 @@
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
-from guavabarrow_daemon.store.watched_table import StoreUnavailable
-from guavabarrow_daemon.targets.target_pool import TargetPool
+from guavabarrow_daemon.store.exceptions import StoreUnavailable
+from guavabarrow_daemon.targets.session_driver import SessionDriver
+from guavabarrow_daemon.targets.session_pool import SessionPool
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +39,9 @@
 SUSPECT_S = 0.7
 """Evidence against a target is withdrawn after this long without more of it."""
 
+OPENING_LIMIT_S = 2.0
+"""A reachable target that is slow to take a session is full, not gone."""
+
 CONNECTION_RESERVE = 2
 """Connections of each target left for VMs that join and for status questions."""
 
@@ -49,7 +53,7 @@
     ----------
     directory : TargetDirectory
         Registered targets.
-    pool_by_id : dict of str to TargetPool
+    pool_by_id : dict of str to SessionPool
         Pools of targets that were used.
     on_changed : list of callable
         Called after the list changed.
@@ -71,9 +75,12 @@
         super().__init__(kernel)
         self.domain = domain
         self.directory = TargetDirectory()
-        self.pool_by_id: dict[str, TargetPool] = {}
+        self.pool_by_id: dict[str, SessionPool] = {}
         self.on_changed: list[Callable[[], None]] = []
         self.create_codec = create_codec
+        self._driver = SessionDriver(
+            create_codec, reactor, opening_limit_s=OPENING_LIMIT_S
+        )
         self._source = source
         self._reactor = reactor
         self._fleet = kernel.find(FleetService)
@@ -128,7 +135,7 @@
         since = self._leaving_since.get(target_id)
         return 0.0 if since is None else now_s() - since
 
-    def pool(self, entry: TargetEntry) -> TargetPool:
+    def pool(self, entry: TargetEntry) -> SessionPool:
         """Return the pool of a target, a new one if its address changed."""
         pool = self.pool_by_id.get(entry.target_id)
         if pool is not None and self._is_same(pool.entry, entry):
@@ -137,9 +144,9 @@
         if pool is not None:
             pool.shut("The target was started again.")
         metrics = self.kernel.find(SessionMetrics)
-        pool = TargetPool(
+        pool = SessionPool(
             entry,
-            self.create_codec,
+            self._driver,
             self._reactor,
             on_evidence=self.note_evidence,
             count_handshake=lambda result: metrics.handshakes.labels(result).inc(),
@@ -263,7 +270,7 @@
         for target_id in set(self._leaving_since) - set(self.directory.entry_by_id):
             del self._leaving_since[target_id]
 
-    def _set_limits(self, pool: TargetPool) -> None:
+    def _set_limits(self, pool: SessionPool) -> None:
         configuration = self._fleet.configuration
         if configuration is None:
             return
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -29,10 +29,9 @@
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
+from guavabarrow_daemon.store.exceptions import HistoryDropped, StoreUnavailable
 from guavabarrow_daemon.store.watched_table import (
-    HistoryDropped,
     OperatorOrders,
-    StoreUnavailable,
     TableReading,
     TableRow,
 )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
@@ -24,7 +24,7 @@
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
-from guavabarrow_daemon.targets.target_connection import set_socket_limits
+from guavabarrow_daemon.targets.session_connection import set_socket_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
@@ -15,10 +15,8 @@
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
-from guavabarrow_daemon.targets.target_questions import (
-    TargetQuestions,
-    TargetUnreachable,
-)
+from guavabarrow_daemon.targets.interface import TargetUnreachable
+from guavabarrow_daemon.targets.target_questions import TargetQuestions
 
 if TYPE_CHECKING:
     from guavabarrow_core.target_directory import TargetEntry
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
@@ -23,20 +23,21 @@
 )
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.front.caller_session import CallerSession, SessionOver
+from guavabarrow_daemon.front.interface import CallerFront
 from guavabarrow_daemon.front.session_admission import SessionAdmission
 from guavabarrow_daemon.front.session_router import SessionRouter
-from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 from guavabarrow_daemon.session_settings import SessionVmSettings, split_address
-from guavabarrow_daemon.targets.target_connection import set_socket_limits
+from guavabarrow_daemon.targets.session_connection import set_socket_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from twisted.python.failure import Failure
 
+    from guavabarrow_daemon.kernel import Kernel
     from guavabarrow_daemon.session_codec import Answer, CallerMessage, FrontCodec
 
 SILENCE_LIMIT_MS = 10000
@@ -195,7 +196,7 @@
         self.transport.loseConnection()
 
 
-class SessionFront(Service):
+class SessionFront(CallerFront):
     """Listens for callers."""
 
     name = "session_front"
@@ -218,6 +219,7 @@
         self._connections: set[CallerConnection] = set()
         self._closing_from = float("inf")
         self._port: Any = None
+        self.address = settings.front_address
         self._expiry: LoopingCall | None = None
 
     async def start(self) -> None:
@@ -227,7 +229,7 @@
         self._port = self._reactor.listenTCP(
             port, factory, backlog=BACKLOG, interface=host
         )
-        self.port = self._port.getHost().port
+        self.address = f"{host}:{self._port.getHost().port}"
         self._expiry = LoopingCall(self._expire)
         self._expiry.clock = self._reactor
         self._expiry.start(EXPIRE_INTERVAL_S, now=False)
@@ -244,6 +246,11 @@
         """Whether new callers should be sent here."""
         return not self.is_draining and self._fleet.configuration is not None
 
+    @property
+    def open_work(self) -> int:
+        """Sessions with a statement that runs or a transaction that is open."""
+        return sum(not connection.is_idle for connection in self._connections)
+
     def add(self, connection: CallerConnection) -> bool:
         """Count a caller, False if there are too many."""
         self._connections.add(connection)
@@ -288,6 +295,7 @@
         log_decision(
             "drain_ended",
             sessions=len(self._connections),
+            open_work=self.open_work,
             duration_s=round(now_s() - began_at, 2),
         )
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -27,12 +27,12 @@
 from guavabarrow_daemon.front.work import OpenTransaction, Work
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
-from guavabarrow_daemon.targets.target_connection import TargetConnectionLost
+from guavabarrow_daemon.targets.interface import TargetBroken
 
 if TYPE_CHECKING:
     from guavabarrow_core.log_position import LogPosition
     from guavabarrow_core.session_values import PreparedShape
-    from guavabarrow_daemon.targets.target_pool import TargetPool
+    from guavabarrow_daemon.targets.session_pool import SessionPool
 
 BUSY_PAUSE_S = 0.02
 """Pause before a target that had no slot is asked again; half a statement."""
@@ -88,7 +88,7 @@
         work: Work,
         statement: Statement,
         shape: PreparedShape | None,
-        pool: TargetPool,
+        pool: SessionPool,
         after: LogPosition | None,
     ) -> Reply:
         at_primary = after is None
@@ -315,7 +315,7 @@
         sent.addTimeout(1.0, self._reactor)
         try:
             await sent
-        except (TargetConnectionLost, TimeoutError):
+        except (TargetBroken, TimeoutError):
             connection.abort()
         self.end(transaction)
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
@@ -18,8 +18,8 @@
     from guavabarrow_core.log_position import LogPosition
     from guavabarrow_core.target_directory import TargetEntry
     from guavabarrow_daemon.front.work import Work
-    from guavabarrow_daemon.targets.target_connection import TargetConnection
-    from guavabarrow_daemon.targets.target_pool import TargetPool
+    from guavabarrow_daemon.targets.session_connection import SessionConnection
+    from guavabarrow_daemon.targets.session_pool import SessionPool
 
 BEHIND_PAUSE_S = 0.08
 """A replica that lacked a position is not asked for it again this soon."""
@@ -53,7 +53,7 @@
 
     async def choose_reader(
         self, work: Work, failed: set[str]
-    ) -> tuple[TargetPool, LogPosition | None]:
+    ) -> tuple[SessionPool, LogPosition | None]:
         """Return the pool of the target that a read or read-only transaction goes to.
 
         Parameters
@@ -65,7 +65,7 @@
 
         Returns
         -------
-        tuple of TargetPool and (LogPosition or None)
+        tuple of SessionPool and (LogPosition or None)
             With the position that the target's log must hold, None at the primary.
 
         Raises
@@ -104,7 +104,9 @@
             raise SessionFailure(FailureCode.OVERLOADED, "Every target failed.")
         return self._directory.pool(entry), None
 
-    async def acquire_primary(self, work: Work) -> tuple[TargetPool, TargetConnection]:
+    async def acquire_primary(
+        self, work: Work
+    ) -> tuple[SessionPool, SessionConnection]:
         """Return a connection to the primary that may be used now.
 
         Raises
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
@@ -13,13 +13,13 @@
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
-from guavabarrow_daemon.targets.target_connection import TargetConnectionLost
+from guavabarrow_daemon.targets.interface import TargetBroken
 
 if TYPE_CHECKING:
     from guavabarrow_core.session_values import PreparedShape
     from guavabarrow_daemon.front.work import Work
-    from guavabarrow_daemon.targets.target_connection import TargetConnection
-    from guavabarrow_daemon.targets.target_pool import TargetPool
+    from guavabarrow_daemon.targets.session_connection import SessionConnection
+    from guavabarrow_daemon.targets.session_pool import SessionPool
 
 MIN_TIMEOUT_S = 0.01
 """A statement that is sent gets at least this long."""
@@ -40,7 +40,7 @@
     def prepare(
         self,
         work: Work,
-        connection: TargetConnection,
+        connection: SessionConnection,
         shape: PreparedShape | None,
     ) -> tuple[bytes, int]:
         """Return the statements that restore the session's values, and their number."""
@@ -51,8 +51,8 @@
     async def run(
         self,
         work: Work,
-        connection: TargetConnection,
-        pool: TargetPool,
+        connection: SessionConnection,
+        pool: SessionPool,
         data: bytes,
         preparations: int,
         *,
@@ -66,7 +66,7 @@
         ----------
         work : Work
             What it is for.
-        connection, pool : TargetConnection, TargetPool
+        connection, pool : SessionConnection, SessionPool
             Where it goes.
         data : bytes
             The statement, after those that prepare the connection.
@@ -94,7 +94,7 @@
         role = "primary" if is_write else "any"
         try:
             reply = await sent
-        except (TargetConnectionLost, TimeoutError) as error:
+        except (TargetBroken, TimeoutError) as error:
             pool.load.record_failure(now_s())
             is_timeout = isinstance(error, TimeoutError)
             self._metrics.attempts.labels(
@@ -128,13 +128,13 @@
             self.give_back(connection, pool)
         return reply
 
-    def give_back(self, connection: TargetConnection, pool: TargetPool) -> None:
+    def give_back(self, connection: SessionConnection, pool: SessionPool) -> None:
         """Return a connection to its pool; one inside a transaction is broken off."""
         if connection.state is not TransactionState.IDLE:
             connection.abort()
         pool.release(connection)
 
 
-def _end_statement(result: Any, pool: TargetPool) -> Any:
+def _end_statement(result: Any, pool: SessionPool) -> Any:
     pool.end_statement()
     return result
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/work.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/work.py
@@ -11,8 +11,8 @@
     from guavabarrow_core.log_position import LogPosition
     from guavabarrow_core.session_configuration import Route
     from guavabarrow_core.session_values import SessionValues
-    from guavabarrow_daemon.targets.target_connection import TargetConnection
-    from guavabarrow_daemon.targets.target_pool import TargetPool
+    from guavabarrow_daemon.targets.session_connection import SessionConnection
+    from guavabarrow_daemon.targets.session_pool import SessionPool
 
 MAX_HOLD_PART = 0.4
 """Part of the time limit that a statement may wait for a connection; the rest is for
@@ -70,8 +70,8 @@
 class OpenTransaction:
     """A transaction that holds a connection."""
 
-    connection: TargetConnection
-    pool: TargetPool
+    connection: SessionConnection
+    pool: SessionPool
     service: str
     at_primary: bool
     has_left: bool = False
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/group.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/group.py
@@ -24,13 +24,13 @@
 from guavabarrow_core.log_position import LogPosition
 from guavabarrow_core.trace import TraceStart
 from guavabarrow_daemon.state_log import log_state
-from guavabarrow_daemon.target.interface import (
+from guavabarrow_daemon.target_watch import TargetWatch
+from guavabarrow_daemon.targets.interface import (
+    SqlDriver,
     TargetBroken,
-    TargetDriver,
     TargetRefused,
 )
-from guavabarrow_daemon.target.pool import TargetPool
-from guavabarrow_daemon.target_watch import TargetWatch
+from guavabarrow_daemon.targets.permit_pool import PermitPool
 
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Service as ServiceEntry
@@ -62,7 +62,7 @@
     """What all groups of a VM share."""
 
     settings: Settings
-    driver: TargetDriver
+    driver: SqlDriver
     permits: PermitService
     metrics: Metrics
     membership: MembershipService
@@ -76,7 +76,7 @@
     """Watches and pools of a group, keyed by target."""
 
     watch_by_target: dict[str, TargetWatch] = field(default_factory=dict)
-    pool_by_target: dict[str, TargetPool] = field(default_factory=dict)
+    pool_by_target: dict[str, PermitPool] = field(default_factory=dict)
 
 
 class Group:
@@ -247,7 +247,7 @@
         control = context.driver.control(*address)
         watch = TargetWatch(target, control, self, context.reactor)
         self.targets.watch_by_target[target.name] = watch
-        self.targets.pool_by_target[target.name] = TargetPool(
+        self.targets.pool_by_target[target.name] = PermitPool(
             target,
             address,
             driver=context.driver,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/group_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/group_service.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Fleet
     from guavabarrow_daemon.settings import Settings
-    from guavabarrow_daemon.target.interface import TargetDriver
+    from guavabarrow_daemon.targets.interface import SqlDriver
 
 
 class GroupService(Service):
@@ -28,7 +28,7 @@
         Registry.
     settings : Settings
         Names, policies and address overrides.
-    driver : TargetDriver
+    driver : SqlDriver
         Opens connections to databases.
     reactor : object
         Clock.
@@ -42,7 +42,7 @@
         self,
         kernel: Kernel,
         settings: Settings,
-        driver: TargetDriver,
+        driver: SqlDriver,
         reactor: Any,
         *,
         incarnation: int,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_runner.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_runner.py
@@ -15,7 +15,7 @@
     WriteRow,
 )
 from guavabarrow_daemon.lease_store import LeaseStore
-from guavabarrow_daemon.store.interface import PlatformUnavailable
+from guavabarrow_daemon.store.exceptions import StoreUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -119,7 +119,7 @@
             else:
                 row, written = await self._store.read(), False
             event: RowRead | StoreFailed = RowRead(row, asked_at, written)
-        except PlatformUnavailable:
+        except StoreUnavailable:
             event = StoreFailed()
         self._lease.step(event, self._reactor.seconds())
         self._on_step()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/membership_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/membership_service.py
@@ -14,12 +14,13 @@
 from guavabarrow_daemon.peer_messages import Gossip, PullHeartbeats, PushHeartbeats
 from guavabarrow_daemon.peers import Peers
 from guavabarrow_daemon.state_log import log_state
-from guavabarrow_daemon.store.interface import PlatformUnavailable, VmDirectory
+from guavabarrow_daemon.store.exceptions import StoreUnavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from guavabarrow_daemon.settings import Settings
+    from guavabarrow_daemon.store.interface import VmDirectory
 
 VM_LIST_INTERVAL_S = 5.0
 VM_LIST_READERS = 2
@@ -167,7 +168,7 @@
     async def _greet_listed(self) -> None:
         try:
             listed = await self._directory.list_vms()
-        except PlatformUnavailable:
+        except StoreUnavailable:
             return
         known = set(self.table.by_vm)
         for entry in listed.vms:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/statement_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/statement_service.py
@@ -36,8 +36,7 @@
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.key_service import KeyService
 from guavabarrow_daemon.metrics import Metrics
-from guavabarrow_daemon.target.interface import TargetBroken, TargetRefused
-from guavabarrow_daemon.target.messages import (
+from guavabarrow_daemon.targets.http_messages import (
     CODE_BEHIND,
     CODE_ID_REUSED,
     CODE_MUST_NOT_RUN,
@@ -48,13 +47,18 @@
     Resolve,
     Result,
 )
-from guavabarrow_daemon.target.pool import Checkout, TargetUnreachable
+from guavabarrow_daemon.targets.interface import (
+    TargetBroken,
+    TargetRefused,
+    TargetUnreachable,
+)
 
 if TYPE_CHECKING:
     from guavabarrow_core.group_view import DatabaseReport
     from guavabarrow_daemon.caller_context import CallerContext
     from guavabarrow_daemon.group import Group
     from guavabarrow_daemon.settings import Settings
+    from guavabarrow_daemon.targets.permit_pool import Checkout
 
 REPORT_WAIT_S = 0.25
 RETRY_AFTER_S = 0.5
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/http_client.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/http_client.py
@@ -5,16 +5,11 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
-from twisted.internet.defer import TimeoutError
 
-from guavabarrow_daemon.http.client_connection import (
-    ConnectionBroken,
-    HttpResponse,
-)
-from guavabarrow_daemon.http.connection_pool import HttpConnectionPool
+from guavabarrow_daemon.store.exceptions import StoreUnavailable
+from guavabarrow_daemon.store.http_caller import HttpStoreCaller
 from guavabarrow_daemon.store.interface import (
     ObjectStore,
-    PlatformUnavailable,
     TableService,
     VmDirectory,
 )
@@ -29,6 +24,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavabarrow_daemon.http.client_connection import HttpResponse
+
 STORE_TIMEOUT_S = 0.4
 MAX_IDLE_CONNECTIONS = 4
 
@@ -59,16 +56,17 @@
         reactor: Any,
         on_operation: Callable[[str], None] | None = None,
     ) -> None:
-        self._connections = HttpConnectionPool(
+        count = on_operation or (lambda name: None)
+        self._caller = HttpStoreCaller(
             host,
             port,
             reactor,
             connect_timeout_s=STORE_TIMEOUT_S,
+            call_timeout_s=STORE_TIMEOUT_S,
             max_idle=MAX_IDLE_CONNECTIONS,
+            on_call=lambda name, result: count(name),
+            headers={"Authorization": f"Bearer {credential}"},
         )
-        self._headers = {"Authorization": f"Bearer {credential}"}
-        self._reactor = reactor
-        self._on_operation = on_operation or (lambda path: None)
 
     async def transact(self, message: Transact) -> TransactAnswer:
         """Apply a conditional transaction."""
@@ -82,7 +80,7 @@
         """Store an object."""
         response = await self._request("PUT", f"/objects/{name}", content)
         if response.status != 200:
-            raise PlatformUnavailable(f"The object store answered {response.status}.")
+            raise StoreUnavailable(f"The object store answered {response.status}.")
 
     async def get(self, name: str) -> bytes | None:
         """Return an object, None if it does not exist."""
@@ -90,7 +88,7 @@
         if response.status == 404:
             return None
         if response.status != 200:
-            raise PlatformUnavailable(f"The object store answered {response.status}.")
+            raise StoreUnavailable(f"The object store answered {response.status}.")
         return response.body
 
     async def list_vms(self) -> VmList:
@@ -99,7 +97,7 @@
 
     def close(self) -> None:
         """Close idle connections."""
-        self._connections.close()
+        self._caller.close()
 
     async def _call(
         self,
@@ -112,22 +110,12 @@
         body = b"" if message is None else msgspec.json.encode(message)
         response = await self._request(method, path, body)
         if response.status != 200:
-            raise PlatformUnavailable(f"The platform answered {response.status}.")
+            raise StoreUnavailable(f"The platform answered {response.status}.")
         try:
             return msgspec.json.decode(response.body, type=answer_type)
         except msgspec.MsgspecError as error:
-            raise PlatformUnavailable(f"Malformed answer: {error}") from error
+            raise StoreUnavailable(f"Malformed answer: {error}") from error
 
     async def _request(self, method: str, path: str, body: bytes) -> HttpResponse:
-        self._on_operation(path.split("/", 2)[1])
-        try:
-            connection = await self._connections.take()
-            pending = connection.request(method, path, body, self._headers)
-            pending.addTimeout(STORE_TIMEOUT_S, self._reactor)
-            response = await pending
-        except (ConnectionBroken, TimeoutError) as error:
-            raise PlatformUnavailable(
-                f"The platform gave no answer: {error}"
-            ) from error
-        self._connections.give_back(connection)
-        return response
+        name = path.split("/", 2)[1]
+        return await self._caller.call(method, path, body, name=name)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/interface.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/interface.py
@@ -5,8 +5,6 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
-from guavabarrow_core.exceptions import GuavabarrowError
-
 if TYPE_CHECKING:
     from guavabarrow_daemon.store.messages import (
         Read,
@@ -17,10 +15,6 @@
     )
 
 
-class PlatformUnavailable(GuavabarrowError):
-    """The platform gave no answer; a write may have taken effect."""
-
-
 class TableService(ABC):
     """Transactional table service."""
 
@@ -30,7 +24,7 @@
 
         Raises
         ------
-        PlatformUnavailable
+        StoreUnavailable
             If there was no answer.
         """
 
@@ -40,7 +34,7 @@
 
         Raises
         ------
-        PlatformUnavailable
+        StoreUnavailable
             If there was no answer.
         """
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
@@ -13,26 +13,6 @@
     from guavabarrow_core.target_directory import TargetEntry
 
 
-class StoreUnavailable(GuavabarrowError):
-    """The store gave no usable answer.
-
-    Parameters
-    ----------
-    detail : str
-        What happened.
-    is_undone : bool
-        Whether it is certain that nothing was changed.
-    """
-
-    def __init__(self, detail: str, *, is_undone: bool) -> None:
-        super().__init__(detail)
-        self.is_undone = is_undone
-
-
-class HistoryDropped(GuavabarrowError):
-    """Changes since the given version are no longer known; read everything."""
-
-
 @dataclass(frozen=True, slots=True)
 class TableRow:
     """One row; ``value`` is None if it was dropped."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/target_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/target_watch.py
@@ -9,12 +9,12 @@
 
 from guavabarrow_core.group_monitor import ProbeFailed, ReportReceived
 from guavabarrow_core.group_view import DatabaseReport, Role
-from guavabarrow_daemon.target.interface import (
+from guavabarrow_daemon.targets.http_messages import Status, Watch
+from guavabarrow_daemon.targets.interface import (
     TargetBroken,
     TargetControl,
     TargetRefused,
 )
-from guavabarrow_daemon.target.messages import Status, Watch
 
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Target
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/__init__.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/__init__.py
@@ -1,1 +1,1 @@
-"""Connections to targets that carry one session at a time."""
+"""Connections to targets over two protocols, behind the same abstract classes."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/http_driver.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/http_driver.py
@@ -12,14 +12,7 @@
     HttpClientConnection,
     open_connection,
 )
-from guavabarrow_daemon.target.interface import (
-    TargetBroken,
-    TargetConnection,
-    TargetControl,
-    TargetDriver,
-    TargetRefused,
-)
-from guavabarrow_daemon.target.messages import (
+from guavabarrow_daemon.targets.http_messages import (
     Begin,
     Commit,
     Connect,
@@ -34,10 +27,19 @@
     TargetProblem,
     Watch,
 )
+from guavabarrow_daemon.targets.interface import (
+    SqlConnection,
+    SqlDriver,
+    TargetBroken,
+    TargetControl,
+    TargetRefused,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavabarrow_core.session_messages import OpenSession
+
 CONNECT_TIMEOUT_S = 1.0
 
 Answer = TypeVar("Answer")
@@ -53,7 +55,7 @@
     accepted: bool
 
 
-class HttpTargetConnection(TargetConnection):
+class HttpTargetConnection(SqlConnection):
     """Client connection over one TCP connection."""
 
     def __init__(self, connection: HttpClientConnection, reactor: Any) -> None:
@@ -161,7 +163,7 @@
         )
 
 
-class HttpTargetDriver(TargetDriver):
+class HttpTargetDriver(SqlDriver):
     """Driver for databases that speak HTTP/1.1 and JSON.
 
     Parameters
@@ -176,8 +178,10 @@
         self._reactor = reactor
         self._credential = credential
 
-    async def connect(self, host: str, port: int) -> HttpTargetConnection:
-        """Open a client connection."""
+    async def connect(
+        self, host: str, port: int, opening: OpenSession | None = None
+    ) -> HttpTargetConnection:
+        """Open a client connection; it serves all teams."""
         try:
             raw = await open_connection(
                 self._reactor, host, port, timeout_s=CONNECT_TIMEOUT_S
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/interface.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/interface.py
@@ -1,16 +1,17 @@
-"""Abstract base classes of connections to databases."""
+"""Abstract base classes of connections to targets."""
 
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 from guavabarrow_core.exceptions import GuavabarrowError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavabarrow_daemon.target.messages import (
+    from guavabarrow_core.session_messages import OpenSession
+    from guavabarrow_daemon.targets.http_messages import (
         Commit,
         Execute,
         FenceAnswer,
@@ -22,8 +23,11 @@
     )
 
 
+ConnectionType = TypeVar("ConnectionType", bound="TargetConnection")
+
+
 class TargetRefused(GuavabarrowError):
-    """A database refused a request, which therefore had no effect.
+    """A target refused a request or a session, which therefore had no effect.
 
     Parameters
     ----------
@@ -33,8 +37,8 @@
         Text for people.
     """
 
-    def __init__(self, code: str, detail: str) -> None:
-        super().__init__(f"{code}: {detail}")
+    def __init__(self, code: str, detail: str = "") -> None:
+        super().__init__(f"{code}: {detail}" if detail else code)
         self.code = code
         self.detail = detail
 
@@ -43,6 +47,22 @@
     """The connection broke or timed out; a write may have taken effect."""
 
 
+class TargetUnreachable(GuavabarrowError):
+    """No connection to the target could be opened; nothing was sent.
+
+    Parameters
+    ----------
+    detail : str
+        What happened.
+    is_refused : bool
+        Whether its machine answered that nothing listens.
+    """
+
+    def __init__(self, detail: str, *, is_refused: bool = False) -> None:
+        super().__init__(detail)
+        self.is_refused = is_refused
+
+
 class TargetConnection(ABC):
     """One client connection; it carries at most one transaction."""
 
@@ -55,6 +75,14 @@
     def set_on_lost(self, callback: Callable[[], None]) -> None:
         """Set what is called when the connection is lost."""
 
+    @abstractmethod
+    def abort(self) -> None:
+        """Close at once; the target rolls back."""
+
+
+class SqlConnection(TargetConnection):
+    """Connection to a database that takes statements with their term."""
+
     @abstractmethod
     async def execute(self, message: Execute, *, timeout_s: float) -> Result:
         """Run a statement.
@@ -83,10 +111,6 @@
     async def resolve(self, message: Resolve, *, timeout_s: float) -> Resolved:
         """Look up the outcome of a request, or rule it out."""
 
-    @abstractmethod
-    def abort(self) -> None:
-        """Close at once; the database rolls back."""
-
 
 class TargetControl(ABC):
     """Control requests to one database, outside of its client connections."""
@@ -112,21 +136,34 @@
         """Close the control connections."""
 
 
-class TargetDriver(ABC):
-    """Opens connections to databases of one kind."""
+class TargetDriver(ABC, Generic[ConnectionType]):
+    """Opens connections to targets of one kind."""
 
     @abstractmethod
-    async def connect(self, host: str, port: int) -> TargetConnection:
+    async def connect(
+        self, host: str, port: int, opening: OpenSession | None = None
+    ) -> ConnectionType:
         """Open a client connection.
 
+        Parameters
+        ----------
+        host, port : str, int
+            Address of the target.
+        opening : OpenSession, optional
+            Service, team and expected target, for kinds whose connections have one.
+
         Raises
         ------
         TargetRefused
-            If the database accepts no more connections.
-        TargetBroken
+            If the target does not take it.
+        TargetBroken or TargetUnreachable
             If it cannot be reached.
         """
 
+
+class SqlDriver(TargetDriver[SqlConnection]):
+    """Driver for databases that take statements with their term."""
+
     @abstractmethod
     def control(self, host: str, port: int) -> TargetControl:
         """Return a control client; it connects when used."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/permit_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/permit_pool.py
@@ -11,11 +11,12 @@
 from guavabarrow_core.exceptions import DeadlineExceeded, GuavabarrowError
 from guavabarrow_core.fair_queue import FairQueue, QueuedItem
 from guavabarrow_daemon.permit_service import PermitAccount, PermitService
-from guavabarrow_daemon.target.interface import (
+from guavabarrow_daemon.targets.interface import (
+    SqlConnection,
+    SqlDriver,
     TargetBroken,
-    TargetConnection,
-    TargetDriver,
     TargetRefused,
+    TargetUnreachable,
 )
 
 if TYPE_CHECKING:
@@ -25,24 +26,20 @@
 RESET_TIMEOUT_S = 0.5
 
 
-class TargetUnreachable(GuavabarrowError):
-    """No connection to the database could be opened; nothing was sent."""
-
-
 @dataclass(eq=False, slots=True)
 class Checkout:
     """A connection in use by one caller.
 
     Parameters
     ----------
-    connection : TargetConnection
+    connection : SqlConnection
         The connection.
-    pool : TargetPool
+    pool : PermitPool
         Pool to return it to.
     """
 
-    connection: TargetConnection
-    pool: TargetPool
+    connection: SqlConnection
+    pool: PermitPool
     is_returned: bool = False
 
     def release(self, *, is_clean: bool) -> None:
@@ -57,8 +54,8 @@
 class PoolState:
     """Connections of a pool by their use."""
 
-    idle: list[TargetConnection] = field(default_factory=list)
-    busy: set[TargetConnection] = field(default_factory=set)
+    idle: list[SqlConnection] = field(default_factory=list)
+    busy: set[SqlConnection] = field(default_factory=set)
     opening: int = 0
 
     @property
@@ -67,7 +64,7 @@
         return len(self.idle) + len(self.busy) + self.opening
 
 
-class TargetPool:
+class PermitPool:
     """Pool of one database.
 
     Parameters
@@ -76,7 +73,7 @@
         Database.
     address : tuple of (str, int)
         Address to dial.
-    driver : TargetDriver
+    driver : SqlDriver
         Opens connections.
     permits : PermitService
         Grants the number of connections.
@@ -91,7 +88,7 @@
         target: Target,
         address: tuple[str, int],
         *,
-        driver: TargetDriver,
+        driver: SqlDriver,
         permits: PermitService,
         reactor: Any,
         is_fair: bool = True,
@@ -169,7 +166,7 @@
             if timer.active():
                 timer.cancel()
 
-    def take_back(self, connection: TargetConnection, *, is_clean: bool) -> None:
+    def take_back(self, connection: SqlConnection, *, is_clean: bool) -> None:
         """Return a connection after use."""
         self.state.busy.discard(connection)
         now = self._reactor.seconds()
@@ -208,7 +205,7 @@
         wanted = len(self.state.busy) + len(self._queue)
         return self.state.open, wanted
 
-    def _lend(self, connection: TargetConnection) -> Checkout:
+    def _lend(self, connection: SqlConnection) -> Checkout:
         self.state.busy.add(connection)
         return Checkout(connection, self)
 
@@ -228,7 +225,7 @@
         if missing > free:
             self._permits.ask(self.target.name)
 
-    def _hand_to_next(self, connection: TargetConnection) -> bool:
+    def _hand_to_next(self, connection: SqlConnection) -> bool:
         now = self._reactor.seconds()
         while True:
             item = self._queue.pop(now=now)
@@ -271,7 +268,7 @@
         while (item := self._queue.pop(now=now)) is not None:
             item.value.errback(TargetUnreachable(reason))
 
-    def _on_lost(self, connection: TargetConnection) -> None:
+    def _on_lost(self, connection: SqlConnection) -> None:
         if connection in self.state.idle:
             self.state.idle.remove(connection)
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_connection.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_connection.py
@@ -11,10 +11,8 @@
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone as CONNECTION_DONE
 
-from guavabarrow_core.exceptions import GuavabarrowError
 from guavabarrow_core.session_messages import (
     Completed,
-    FailureCode,
     MalformedMessage,
     OpenSession,
     Reply,
@@ -25,6 +23,11 @@
 )
 from guavabarrow_core.session_values import ConnectionValues
 from guavabarrow_daemon.operations.clock import now_s
+from guavabarrow_daemon.targets.interface import (
+    TargetBroken,
+    TargetConnection,
+    TargetRefused,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,24 +41,6 @@
 repaired sooner, and a statement still has time to go elsewhere."""
 
 
-class TargetConnectionLost(GuavabarrowError):
-    """The connection ended, or was given up on, before the answer was complete."""
-
-
-class TargetRefused(GuavabarrowError):
-    """The target refused the session.
-
-    Parameters
-    ----------
-    code : FailureCode
-        Its reason.
-    """
-
-    def __init__(self, code: FailureCode) -> None:
-        super().__init__(f"The target refused the session: {code.value}.")
-        self.code = code
-
-
 @dataclass(slots=True)
 class PendingReply:
     """A statement that was sent.
@@ -72,7 +57,7 @@
     sent_at: float
 
 
-class TargetConnection(Protocol):
+class SessionConnection(TargetConnection, Protocol):
     """Client side of one session with a target.
 
     Parameters
@@ -94,19 +79,19 @@
         self._codec = codec
         self.opening = opening
         self.team = opening.principal
-        self.opened: Deferred[TargetConnection] = Deferred(lambda _: self.abort())
+        self.opened: Deferred[SessionConnection] = Deferred(lambda _: self.abort())
         self.values = ConnectionValues()
         self.state = TransactionState.IDLE
-        self.is_open = False
         self.idle_since = 0.0
-        self.on_lost: Callable[[TargetConnection], None] | None = None
+        self._is_open = False
+        self._on_lost: Callable[[], None] | None = None
         self._pending: deque[PendingReply] = deque()
         self._rows: list[str] = []
         self._outcome: Completed | StatementFailed | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Open the session."""
-        self.is_open = True
+        self._is_open = True
         set_socket_limits(self.transport, SILENCE_LIMIT_MS)
         self.transport.write(self._codec.encode_open(self.opening))
 
@@ -125,11 +110,11 @@
         Returns
         -------
         Deferred of Reply
-            Fails with :class:`TargetConnectionLost`; cancelling aborts.
+            Fails with :class:`TargetBroken`; cancelling aborts.
         """
         result: Deferred[Reply] = Deferred(lambda _: self.abort())
-        if not self.is_open:
-            result.errback(TargetConnectionLost("The connection is closed."))
+        if not self._is_open:
+            result.errback(TargetBroken("The connection is closed."))
             return result
         for _ in range(preparations):
             self._pending.append(PendingReply(None, now))
@@ -137,6 +122,15 @@
         self.transport.write(data)
         return result
 
+    @property
+    def is_open(self) -> bool:
+        """Whether statements can be sent."""
+        return self._is_open
+
+    def set_on_lost(self, callback: Callable[[], None]) -> None:
+        """Set what is called when the connection is lost."""
+        self._on_lost = callback
+
     @property
     def has_pending(self) -> bool:
         """Whether answers are outstanding."""
@@ -144,21 +138,21 @@
 
     def abort(self) -> None:
         """Close at once; the target rolls back what is open."""
-        if self.is_open:
-            self.is_open = False
+        if self._is_open:
+            self._is_open = False
             self.transport.abortConnection()
 
     def close(self) -> None:
         """End an idle session."""
-        if self.is_open:
-            self.is_open = False
+        if self._is_open:
+            self._is_open = False
             self.transport.write(self._codec.encode_close())
             self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take answers."""
         for message in self._codec.feed(data):
-            if not self.is_open:
+            if not self._is_open:
                 return
             match message:
                 case Row(content):
@@ -166,8 +160,8 @@
                 case Completed() | StatementFailed():
                     self._outcome = message
                     if isinstance(message, StatementFailed) and not self.opened.called:
-                        self.is_open = False
-                        self.opened.errback(TargetRefused(message.code))
+                        self._is_open = False
+                        self.opened.errback(TargetRefused(message.code.value))
                         self.transport.loseConnection()
                 case SessionReady():
                     self._on_ready(message)
@@ -176,15 +170,15 @@
 
     def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:  # noqa: N802
         """Fail everything that is outstanding."""
-        self.is_open = False
+        self._is_open = False
         if not self.opened.called:
-            self.opened.errback(TargetConnectionLost("The session was not opened."))
+            self.opened.errback(TargetBroken("The session was not opened."))
         pending, self._pending = self._pending, deque()
         for reply in pending:
             if reply.result is not None and not reply.result.called:
-                reply.result.errback(TargetConnectionLost("The connection was lost."))
-        if self.on_lost is not None:
-            self.on_lost(self)
+                reply.result.errback(TargetBroken("The connection was lost."))
+        if self._on_lost is not None:
+            self._on_lost()
 
     def _on_ready(self, ready: SessionReady) -> None:
         if not self.opened.called:
@@ -224,6 +218,6 @@
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
 
 
-def idle_s(connection: TargetConnection) -> float:
+def idle_s(connection: SessionConnection) -> float:
     """Return for how long a connection has not been used, in s."""
     return now_s() - connection.idle_since
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import CancelledError, Deferred, TimeoutError
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.defer import Deferred
 
 from guavabarrow_core.exceptions import SessionFailure
 from guavabarrow_core.send_window import SendWindow
@@ -20,21 +20,19 @@
 from guavabarrow_core.target_choice import TargetLoad
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
-from guavabarrow_daemon.targets.target_connection import (
-    TargetConnection,
-    TargetConnectionLost,
+from guavabarrow_daemon.targets.interface import (
+    TargetBroken,
     TargetRefused,
-    idle_s,
+    TargetUnreachable,
 )
+from guavabarrow_daemon.targets.session_connection import idle_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from guavabarrow_core.target_directory import TargetEntry
-    from guavabarrow_daemon.session_codec import TargetCodec
-
-CONNECT_TIMEOUT_S = 0.35
-"""A few crossings; a lost opening packet is sent again only after a second."""
+    from guavabarrow_daemon.targets.interface import TargetDriver
+    from guavabarrow_daemon.targets.session_connection import SessionConnection
 
 FULL_PAUSE_S = 0.06
 """Pause after the target had no connection to give; a few statements' time."""
@@ -46,9 +44,6 @@
 """Idle time after which any connection is closed. What VMs hold when their machines
 lose power counts against the target's limit for seconds, so they hold little."""
 
-HANDSHAKE_TIMEOUT_S = 2.0
-"""A reachable target that is slow to take a session is full, not gone."""
-
 UNREACHABLE_PAUSE_S = 0.25
 """Pause between attempts to reach a target that gave no answer; statements that ask
 meanwhile are refused at once."""
@@ -89,20 +84,20 @@
     start_tag: float
     order: int
     deadline: float
-    result: Deferred[TargetConnection]
+    result: Deferred[SessionConnection]
 
 
-class TargetPool:
+class SessionPool:
     """Connections to one target.
 
     Parameters
     ----------
     entry : TargetEntry
         The target.
-    create_codec : callable
-        Creates the codec of a connection.
+    driver : TargetDriver of SessionConnection
+        Opens connections.
     reactor : object
-        Reactor that owns the sockets.
+        Clock.
     on_evidence : callable
         Called with the target's id and whether it just answered or failed.
     count_handshake : callable
@@ -112,7 +107,7 @@
     def __init__(
         self,
         entry: TargetEntry,
-        create_codec: Callable[[], TargetCodec],
+        driver: TargetDriver[SessionConnection],
         reactor: Any,
         *,
         on_evidence: Callable[[str, str], None],
@@ -124,12 +119,12 @@
         self._running = 0
         self.even_part = 1
         self.most = 4
-        self.connections: set[TargetConnection] = set()
-        self._create_codec = create_codec
+        self.connections: set[SessionConnection] = set()
+        self._driver = driver
         self._reactor = reactor
         self._on_evidence = on_evidence
         self._count_handshake = count_handshake
-        self._idle: list[TargetConnection] = []
+        self._idle: list[SessionConnection] = []
         self._waiters: list[Waiter] = []
         self._opening = 0
         self._order = 0
@@ -176,7 +171,7 @@
 
     def acquire(
         self, team: str, *, priority: int, deadline: float
-    ) -> Deferred[TargetConnection]:
+    ) -> Deferred[SessionConnection]:
         """Get a connection for one statement or transaction.
 
         Parameters
@@ -190,10 +185,10 @@
 
         Returns
         -------
-        Deferred of TargetConnection
+        Deferred of SessionConnection
             Fails with :class:`SessionFailure`.
         """
-        result: Deferred[TargetConnection] = Deferred(self._on_cancel)
+        result: Deferred[SessionConnection] = Deferred(self._on_cancel)
         if self._is_closed:
             result.errback(_unavailable("The target is gone."))
             return result
@@ -225,7 +220,7 @@
         self._serve()
         return result
 
-    def release(self, connection: TargetConnection) -> None:
+    def release(self, connection: SessionConnection) -> None:
         """Give a connection back after its last answer."""
         if not connection.is_open:
             self._serve()
@@ -300,7 +295,7 @@
             self._opening += 1
             Deferred.fromCoroutine(self._open(self._waiters[0].team))
 
-    def _take_idle(self, team: str) -> TargetConnection | None:
+    def _take_idle(self, team: str) -> SessionConnection | None:
         for connection in reversed(self._idle):
             if connection.team == team:
                 self._idle.remove(connection)
@@ -320,64 +315,57 @@
         self._discard(min(spare, key=lambda c: c.idle_since))
         return True
 
-    def _discard(self, connection: TargetConnection) -> None:
+    def _discard(self, connection: SessionConnection) -> None:
         self._idle.remove(connection)
         self.connections.discard(connection)
         connection.close()
 
     async def _open(self, team: str) -> None:
         opening = OpenSession(self.entry.service, team, self.entry.target_id)
-        connection = TargetConnection(self._create_codec(), opening)
-        endpoint = TCP4ClientEndpoint(
-            self._reactor,
-            self.entry.host,
-            self.entry.port,
-            timeout=CONNECT_TIMEOUT_S,
-        )
+        connection = None
         evidence = "answered"
         try:
-            await connectProtocol(endpoint, connection)
-            connection.opened.addTimeout(HANDSHAKE_TIMEOUT_S, self._reactor)
-            await connection.opened
+            connection = await self._driver.connect(
+                self.entry.host, self.entry.port, opening
+            )
             self._count_handshake("opened")
             self._unreachable_at = None
         except TargetRefused as error:
-            self._count_handshake(error.code.value)
+            self._count_handshake(error.code)
             self._on_refused(error.code)
             evidence = ""
-        except (TargetConnectionLost, TimeoutError, CancelledError) as error:
+        except TargetBroken as error:
             self._count_handshake("lost")
             evidence = "silent"
-            self._on_unreachable(str(error) or "no answer", evidence)
-        except Exception as error:
-            name = type(error).__name__
-            self._count_handshake(name)
-            evidence = "refused" if "Refused" in name else "silent"
-            self._on_unreachable(f"{name}: {error}", evidence)
+            self._on_unreachable(str(error), evidence)
+        except TargetUnreachable as error:
+            evidence = "refused" if error.is_refused else "silent"
+            self._count_handshake(evidence)
+            self._on_unreachable(str(error), evidence)
         finally:
             self._opening -= 1
         if evidence:
             self._on_evidence(self.entry.target_id, evidence)
-        if not connection.is_open:
+        if connection is None or not connection.is_open:
             self._serve_later()
             return
         self.connections.add(connection)
-        connection.on_lost = self._on_lost
+        connection.set_on_lost(partial(self._on_lost, connection))
         self.release(connection)
 
-    def _on_refused(self, code: FailureCode) -> None:
+    def _on_refused(self, code: str) -> None:
         now = now_s()
-        if code is FailureCode.TOO_MANY_CONNECTIONS:
+        if code == FailureCode.TOO_MANY_CONNECTIONS.value:
             self._full_until = now + FULL_PAUSE_S
             return
         log_decision(
             "target_refused_session",
             target=self.entry.target_id,
             service=self.entry.service,
-            code=code.value,
+            code=code,
         )
         self.load.record_failure(now)
-        self._fail_waiters(f"The target refused the session: {code.value}.")
+        self._fail_waiters(f"The target refused the session: {code}.")
 
     def _on_unreachable(self, detail: str, evidence: str) -> None:
         log_decision(
@@ -401,7 +389,7 @@
         if self._waiters:
             self._reactor.callLater(FULL_PAUSE_S, self._serve)
 
-    def _on_lost(self, connection: TargetConnection) -> None:
+    def _on_lost(self, connection: SessionConnection) -> None:
         was_idle = connection in self._idle
         if was_idle:
             self._idle.remove(connection)
@@ -410,7 +398,7 @@
             self._on_evidence(self.entry.target_id, "lost")
         self._serve()
 
-    def _on_cancel(self, result: Deferred[TargetConnection]) -> None:
+    def _on_cancel(self, result: Deferred[SessionConnection]) -> None:
         self._waiters = [w for w in self._waiters if w.result is not result]
 
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_questions.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_questions.py
@@ -5,48 +5,31 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred, DeferredList, TimeoutError
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-from twisted.internet.error import ConnectionRefusedError
 
-from guavabarrow_core.exceptions import GuavabarrowError
 from guavabarrow_core.session_messages import OpenSession, Reply, TargetStatus
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
-from guavabarrow_daemon.targets.target_connection import (
-    TargetConnection,
-    TargetConnectionLost,
+from guavabarrow_daemon.targets.interface import (
+    TargetBroken,
     TargetRefused,
+    TargetUnreachable,
 )
+from guavabarrow_daemon.targets.session_driver import SessionDriver
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from guavabarrow_core.target_directory import TargetEntry
     from guavabarrow_daemon.session_codec import TargetCodec
+    from guavabarrow_daemon.targets.session_connection import SessionConnection
 
-CONNECT_TIMEOUT_S = 0.35
+OPENING_LIMIT_S = 0.35
 """A handshake takes 12 ms and a few crossings between failure domains."""
 
 ANSWER_TIMEOUT_S = 0.3
 """A status takes under 1 ms and a few crossings, but may wait for a slot."""
 
 
-class TargetUnreachable(GuavabarrowError):
-    """The target gave no answer.
-
-    Parameters
-    ----------
-    target_id : str
-        The target.
-    is_refused : bool
-        Whether its machine answered that nothing listens.
-    """
-
-    def __init__(self, target_id: str, detail: str, *, is_refused: bool) -> None:
-        super().__init__(f"{target_id}: {detail}")
-        self.is_refused = is_refused
-
-
 class TargetQuestions:
     """Asks targets on connections that name no team.
 
@@ -59,11 +42,13 @@
     """
 
     def __init__(self, create_codec: Callable[[], TargetCodec], reactor: Any) -> None:
-        self._create_codec = create_codec
+        self._driver = SessionDriver(
+            create_codec, reactor, opening_limit_s=OPENING_LIMIT_S
+        )
         self._codec = create_codec()
         self._reactor = reactor
 
-    async def dial(self, entry: TargetEntry) -> TargetConnection:
+    async def dial(self, entry: TargetEntry) -> SessionConnection:
         """Open a connection.
 
         Raises
@@ -72,29 +57,10 @@
             If the target did not take it.
         """
         opening = OpenSession(entry.service, "", entry.target_id)
-        connection = TargetConnection(self._create_codec(), opening)
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, entry.host, entry.port, timeout=CONNECT_TIMEOUT_S
-        )
         try:
-            await connectProtocol(endpoint, connection)
-            connection.opened.addTimeout(CONNECT_TIMEOUT_S, self._reactor)
-            await connection.opened
-        except TargetRefused as error:
-            raise TargetUnreachable(
-                entry.target_id, str(error), is_refused=False
-            ) from error
-        except ConnectionRefusedError as error:
-            raise TargetUnreachable(
-                entry.target_id, "refused", is_refused=True
-            ) from error
-        except Exception as error:
-            connection.abort()
-            detail = f"{type(error).__name__} {error}"
-            raise TargetUnreachable(
-                entry.target_id, detail, is_refused=False
-            ) from error
-        return connection
+            return await self._driver.connect(entry.host, entry.port, opening)
+        except (TargetRefused, TargetBroken) as error:
+            raise TargetUnreachable(str(error)) from error
 
     async def status(self, entry: TargetEntry) -> TargetStatus | None:
         """Return where a target's log ends, None if it does not say."""
@@ -137,7 +103,7 @@
         asked.addTimeout(ANSWER_TIMEOUT_S, self._reactor)
         try:
             return await asked
-        except (TargetConnectionLost, TimeoutError) as error:
+        except (TargetBroken, TimeoutError) as error:
             log_decision("target_unanswered", target=entry.target_id, detail=str(error))
             return None
         finally:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/transaction_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/transaction_service.py
@@ -27,21 +27,21 @@
     RETRY_AFTER_S,
     StatementService,
 )
-from guavabarrow_daemon.target.interface import TargetBroken, TargetRefused
-from guavabarrow_daemon.target.messages import (
+from guavabarrow_daemon.targets.http_messages import (
     CODE_ID_REUSED,
     CODE_STATEMENT_FAILED,
     Commit,
     Execute,
     Result,
 )
+from guavabarrow_daemon.targets.interface import TargetBroken, TargetRefused
 
 if TYPE_CHECKING:
     from guavabarrow_core.key_ring import KeyOwner
     from guavabarrow_daemon.caller_context import CallerContext
     from guavabarrow_daemon.group import Group
     from guavabarrow_daemon.settings import Settings
-    from guavabarrow_daemon.target.pool import Checkout
+    from guavabarrow_daemon.targets.permit_pool import Checkout
 
 CHECK_S = 0.25
 ID_BYTES = 18
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -11,20 +11,19 @@
 from guavabarrow_core.session_configuration import ServiceLimits, SessionConfiguration
 from guavabarrow_core.session_messages import TargetStatus
 from guavabarrow_core.target_directory import TargetEntry
+from guavabarrow_daemon.store.exceptions import HistoryDropped, StoreUnavailable
 from guavabarrow_daemon.store.watched_table import (
     DirectorySource,
-    HistoryDropped,
     OperatorOrders,
     OperatorSource,
     PromotionAuthority,
     PromotionRefused,
-    StoreUnavailable,
     TableReading,
     TableRow,
     WatchedTable,
     Written,
 )
-from guavabarrow_daemon.targets.target_questions import TargetUnreachable
+from guavabarrow_daemon.targets.interface import TargetUnreachable
 
 if TYPE_CHECKING:
     from sim_network import SimNetwork, SimReactor
@@ -288,9 +287,9 @@
         await deferLater(self._reactor, CALL_S, lambda: None)
         if not self.reaches(target):
             await deferLater(self._reactor, 0.35, lambda: None)
-            raise TargetUnreachable(entry.target_id, "silent", is_refused=False)
+            raise TargetUnreachable("silent")
         if not target.is_alive:
-            raise TargetUnreachable(entry.target_id, "refused", is_refused=True)
+            raise TargetUnreachable("refused", is_refused=True)
         return _Closable()
 
     async def status(self, entry: TargetEntry) -> TargetStatus | None:
--- /dev/null
+++ b/packages/guavabarrow-daemon/tests/test_interfaces.py
@@ -0,0 +1,34 @@
+"""Both protocols of callers, targets and stores stand behind the same classes."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavabarrow_daemon.caller_api import CallerApi
+from guavabarrow_daemon.front.interface import CallerFront
+from guavabarrow_daemon.front.session_front import SessionFront
+from guavabarrow_daemon.targets.http_driver import (
+    HttpTargetConnection,
+    HttpTargetDriver,
+)
+from guavabarrow_daemon.targets.interface import TargetConnection, TargetDriver
+from guavabarrow_daemon.targets.session_connection import SessionConnection
+from guavabarrow_daemon.targets.session_driver import SessionDriver
+
+
+@pytest.mark.parametrize("front", [CallerApi, SessionFront])
+def test_fronts(front):
+    assert issubclass(front, CallerFront)
+    assert not front.__abstractmethods__
+
+
+@pytest.mark.parametrize("driver", [HttpTargetDriver, SessionDriver])
+def test_drivers(driver):
+    assert issubclass(driver, TargetDriver)
+    assert not driver.__abstractmethods__
+
+
+@pytest.mark.parametrize("connection", [HttpTargetConnection, SessionConnection])
+def test_connections(connection):
+    assert issubclass(connection, TargetConnection)
+    assert not connection.__abstractmethods__
--- a/packages/guavabarrow-daemon/tests/test_permit_pool.py
+++ b/packages/guavabarrow-daemon/tests/test_permit_pool.py
@@ -9,8 +9,8 @@
 from guavabarrow_core.exceptions import DeadlineExceeded, Overloaded
 from guavabarrow_core.fair_queue import MAX_QUEUED_PER_TEAM
 from guavabarrow_core.fleet import Target
-from guavabarrow_daemon.target.interface import TargetBroken
-from guavabarrow_daemon.target.pool import TargetPool, TargetUnreachable
+from guavabarrow_daemon.targets.interface import TargetBroken, TargetUnreachable
+from guavabarrow_daemon.targets.permit_pool import PermitPool
 
 
 class FakeConnection:
@@ -59,7 +59,7 @@
 
 
 def create_pool(setting, total=1, **options):
-    return TargetPool(
+    return PermitPool(
         Target("t", "d", "127.0.0.1", 1),
         ("127.0.0.1", 1),
         driver=setting.driver,
--- a/packages/guavabarrow-daemon/tests/test_session_pool.py
+++ b/packages/guavabarrow-daemon/tests/test_session_pool.py
@@ -7,8 +7,8 @@
 
 from guavabarrow_core.exceptions import SessionFailure
 from guavabarrow_core.target_directory import TargetEntry
-from guavabarrow_daemon.targets import target_pool
-from guavabarrow_daemon.targets.target_pool import TargetPool
+from guavabarrow_daemon.targets import session_pool
+from guavabarrow_daemon.targets.session_pool import SessionPool
 
 ENTRY = TargetEntry("t1", "orders", "north", "10.0.0.1", 80, False, True)
 DEADLINE = 1e12
@@ -29,7 +29,7 @@
     abort = close
 
 
-class Pool(TargetPool):
+class Pool(SessionPool):
     """Pool whose handshakes the test completes."""
 
     def __init__(self) -> None:
@@ -119,22 +119,22 @@
 def test_statements_do_not_wait_for_a_target_that_gave_no_answer(monkeypatch):
     """Load: every caller of a cut-off target waited for an attempt of its own."""
     now = [100.0]
-    monkeypatch.setattr(target_pool, "now_s", lambda: now[0])
+    monkeypatch.setattr(session_pool, "now_s", lambda: now[0])
     pool = Pool()
     first = ask(pool, "a")
     pool._opening -= 1
     pool._on_unreachable("no answer", "silent")
     assert isinstance(first[0].value, SessionFailure)
     refused = ask(pool, "a")
-    assert refused[0].value.retry_after_s == target_pool.UNREACHABLE_PAUSE_S
-    now[0] += target_pool.UNREACHABLE_PAUSE_S
+    assert refused[0].value.retry_after_s == session_pool.UNREACHABLE_PAUSE_S
+    now[0] += session_pool.UNREACHABLE_PAUSE_S
     assert ask(pool, "a") == []
     assert len(pool.handshakes) == 2
     assert isinstance(ask(pool, "a")[0].value, SessionFailure)
 
 
 def test_what_would_come_too_late_is_refused_at_once(monkeypatch):
-    monkeypatch.setattr(target_pool, "now_s", lambda: 100.0)
+    monkeypatch.setattr(session_pool, "now_s", lambda: 100.0)
     pool = Pool()
     pool.load.response_s = 2.0
     for _ in range(3):
@@ -148,15 +148,15 @@
 @pytest.mark.parametrize("idle_s", [0.2, 1.0])
 def test_idle_connections_are_given_back_soon(monkeypatch, idle_s):
     now = [100.0]
-    monkeypatch.setattr(target_pool, "now_s", lambda: now[0])
-    monkeypatch.setattr(target_pool, "idle_s", lambda c: now[0] - c.idle_since)
+    monkeypatch.setattr(session_pool, "now_s", lambda: now[0])
+    monkeypatch.setattr(session_pool, "idle_s", lambda c: now[0] - c.idle_since)
     pool = Pool()
     ask(pool, "a")
     connection = pool.complete()
     pool.release(connection)
     now[0] += idle_s
     pool.trim()
-    assert connection.is_open is (idle_s < target_pool.IDLE_S)
+    assert connection.is_open is (idle_s < session_pool.IDLE_S)
 
 
 def test_a_team_with_many_statements_does_not_starve_another():
