--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 
 from guavabarrow_core.target_directory import TargetEntry
 
+PACK_FROM_BYTES = 2000
+"""Smaller values are hardly ever shortened by more than their headers."""
+
 UNKNOWN_AGE_S = 1e9
 """Age of what was never known."""
 
@@ -56,12 +61,35 @@
     directory_change: int = 0
 
 
-class SharedRow(msgspec.Struct, frozen=True):
+class SharedRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """A row of a table in the store's own form; no value means dropped."""
 
     key: str
     version: int
     value: bytes | None
+    is_packed: bool = False
+
+    def pack(self) -> SharedRow:
+        """Return the row with its value compressed, if that is worth it."""
+        if self.is_packed or self.value is None or len(self.value) < PACK_FROM_BYTES:
+            return self
+        return msgspec.structs.replace(
+            self, value=zlib.compress(self.value), is_packed=True
+        )
+
+    def unpack(self) -> SharedRow:
+        """Return the row with its value as the store has it.
+
+        Raises
+        ------
+        zlib.error
+            If it can't be read.
+        """
+        if not self.is_packed or self.value is None:
+            return self
+        return msgspec.structs.replace(
+            self, value=zlib.decompress(self.value), is_packed=False
+        )
 
 
 class FleetRows(msgspec.Struct, frozen=True, tag="rows"):
@@ -114,11 +142,11 @@
     rows_version : int
         Version of its newest row.
     rows : list of SharedRow
-        All rows, empty if the version that the sender knows is the same.
+        Rows that are newer than the version that was asked with.
     orders_version : int
         Version of the newest row of the operators' table.
     orders : list of SharedRow
-        All rows, empty if the version that the sender knows is the same.
+        Rows that are newer than the version that was asked with.
     directory_age_s : float
         Age of the list of targets.
     directory_change : int
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -225,7 +225,7 @@
                 if not self.state.is_registered():
                     await deferLater(self._reactor, RETRY_S, lambda: None)
                 continue
-            if self._is_relayed():
+            if self._is_relayed() and not self._has_duty():
                 await deferLater(self._reactor, RELAY_CHECK_S, lambda: None)
                 continue
             sent_at = now_s()
@@ -401,11 +401,7 @@
 
     def _is_relayed(self) -> bool:
         observer = self.observer()
-        if (
-            self._has_duty()
-            or observer == self._settings.vm
-            or self.table_age_s() > RELAY_LIMIT_S
-        ):
+        if observer == self._settings.vm or self.table_age_s() > RELAY_LIMIT_S:
             return False
         pulse_age_s, pulse = self.last_pulse(observer)
         return pulse_age_s + pulse.store_age_s < RELAY_LIMIT_S
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import zlib
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.task import LoopingCall
@@ -25,6 +27,7 @@
 from guavabarrow_daemon.fleet.row_codec import encode_row
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
+from guavabarrow_daemon.operations.decision_log import log_decision
 
 if TYPE_CHECKING:
     from guavabarrow_core.fleet_state import VersionedRow
@@ -38,8 +41,17 @@
 MIN_GAIN_S = 0.3
 """A VM is worth asking if it is ahead by this much."""
 
-ANSWER_LIMIT_S = 1.0
-"""An answer that took longer is dropped: its ages would be too coarse."""
+ANSWER_LIMIT_S = 5.0
+"""A VM that has not answered is asked again after this long. A large answer needs
+seconds on a slow link, and asking meanwhile would only make it later."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request that has no answer yet."""
+
+    number: int
+    asked_at: float
 
 
 class TableRelay(Service):
@@ -53,14 +65,16 @@
         self._fleet = kernel.find(FleetService)
         self._links = kernel.find(PeerLinks)
         self._directory = kernel.find(DirectoryService)
-        self._asked_at_by_number: dict[int, float] = {}
-        self._asked_at_by_vm: dict[str, float] = {}
+        self._ask_by_vm: dict[str, Ask] = {}
+        self._answered_at_by_vm: dict[str, float] = {}
+        self._packed_by_key: dict[str, SharedRow] = {}
         self._number = 0
         self._asks: LoopingCall | None = None
 
     async def start(self) -> None:
         """Begin to ask."""
         self._links.on_peer_message.append(self._on_message)
+        self._links.on_peer_up.append(self._forget_ask)
         self._asks = LoopingCall(self._ask_observer)
         self._asks.clock = self._reactor
         self._asks.start(ASK_S, now=False)
@@ -70,6 +84,10 @@
         if self._asks is not None and self._asks.running:
             self._asks.stop()
 
+    def _forget_ask(self, vm: str) -> None:
+        # What was asked on the former link is not answered on this one.
+        self._ask_by_vm.pop(vm, None)
+
     def _ask_observer(self) -> None:
         observer = self._fleet.observer()
         if observer != self._fleet.state.vm:
@@ -77,12 +95,13 @@
 
     def _ask(self, vm: str) -> None:
         now = now_s()
+        former = self._ask_by_vm.get(vm)
+        if former is not None and now - former.asked_at < ANSWER_LIMIT_S:
+            return
+        if not self._links.is_linked(vm):
+            return
         self._number += 1
-        self._asked_at_by_vm[vm] = now
-        self._asked_at_by_number[self._number] = now
-        for number, at in list(self._asked_at_by_number.items()):
-            if now - at > ANSWER_LIMIT_S:
-                del self._asked_at_by_number[number]
+        self._ask_by_vm[vm] = Ask(self._number, now)
         request = TableRequest(
             self._number,
             self._fleet.state.rows_version,
@@ -98,7 +117,7 @@
             case TableRequest():
                 self._answer(vm, message)
             case TableAnswer():
-                self._take(message)
+                self._take(vm, message)
 
     def _on_pulse(self, vm: str, pulse: Pulse) -> None:
         own_age_s = self._fleet.table_age_s()
@@ -113,7 +132,7 @@
         has_targets = self._follow_directory(vm, pulse)
         if not (is_ahead or is_newer or has_targets):
             return
-        if now_s() - self._asked_at_by_vm.get(vm, 0.0) > MIN_GAIN_S:
+        if now_s() - self._answered_at_by_vm.get(vm, 0.0) > MIN_GAIN_S:
             self._ask(vm)
 
     def _follow_directory(self, vm: str, pulse: Pulse) -> bool:
@@ -131,12 +150,16 @@
         if not fleet.clock.is_set or fleet.state.version == 0:
             return
         rows_version = fleet.state.rows_version
-        rows: list[SharedRow] = []
-        if request.rows_version < rows_version:
-            rows = [_share(known) for known in fleet.state.row_by_key.values()]
-        orders: list[SharedRow] = []
-        if request.orders_version < fleet.orders_row_version:
-            orders = list(fleet.order_row_by_key.values())
+        rows = [
+            _share(known)
+            for known in fleet.state.row_by_key.values()
+            if known.version > request.rows_version
+        ]
+        orders = [
+            self._pack(row)
+            for row in fleet.order_row_by_key.values()
+            if row.version > request.orders_version
+        ]
         is_known = request.directory_change == self._directory.change
         answer = TableAnswer(
             number=request.number,
@@ -153,9 +176,23 @@
         )
         self._links.send(vm, answer)
 
-    def _take(self, answer: TableAnswer) -> None:
-        asked_at = self._asked_at_by_number.pop(answer.number, None)
-        if asked_at is None or now_s() - asked_at > ANSWER_LIMIT_S:
+    def _pack(self, row: SharedRow) -> SharedRow:
+        packed = self._packed_by_key.get(row.key)
+        if packed is None or packed.version != row.version:
+            packed = self._packed_by_key[row.key] = row.pack()
+        return packed
+
+    def _take(self, vm: str, answer: TableAnswer) -> None:
+        ask = self._ask_by_vm.get(vm)
+        if ask is None or ask.number != answer.number:
+            return
+        del self._ask_by_vm[vm]
+        self._answered_at_by_vm[vm] = now_s()
+        asked_at = ask.asked_at
+        try:
+            orders = [row.unpack() for row in answer.orders]
+        except zlib.error as error:
+            log_decision("relayed_orders_unreadable", peer=vm, detail=str(error))
             return
         # The answer was made after the request was sent: its store time bounds ours.
         self._fleet.clock.observe(
@@ -167,8 +204,8 @@
             answer.rows_version,
             answer.heard_store_s,
         )
-        if answer.orders:
-            self._fleet.take_relayed_orders(answer.orders)
+        if orders:
+            self._fleet.take_relayed_orders(orders)
         if answer.targets is not None:
             age_s = answer.directory_age_s + now_s() - asked_at
             self._directory.take_relayed(answer.targets, age_s)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/http/client_connection.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/http/client_connection.py
@@ -68,6 +68,7 @@
         self._size = 0
         self.is_open = False
         self.on_lost: Callable[[], None] | None = None
+        self.on_progress: Callable[[], None] | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm: each message is one write."""
@@ -121,6 +122,8 @@
         if self._parser is None or self._pending is None:
             self.abort()
             return
+        if self.on_progress is not None:
+            self.on_progress()
         try:
             self._parser.feed_data(data)
         except HttpParserError:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/http_caller.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/http_caller.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import TimeoutError
+from twisted.internet.defer import CancelledError
 
 from guavabarrow_daemon.http.client_connection import ConnectionBroken
 from guavabarrow_daemon.http.connection_pool import HttpConnectionPool
@@ -15,6 +16,9 @@
 
     from guavabarrow_daemon.http.client_connection import HttpResponse
 
+LONGEST_CALL_S = 10.0
+"""Limit of a call whose answer still arrives; 6 MB over 5 Mbit/s."""
+
 NOTHING_DONE = (429, 503)
 """Answers of a server that turned the call away."""
 
@@ -28,8 +32,11 @@
         Address of the store.
     reactor : object
         Reactor that owns the sockets.
-    connect_timeout_s, call_timeout_s : float
-        Limits of an attempt to connect and of a call, in s.
+    connect_timeout_s : float
+        Limit of an attempt to connect, in s.
+    call_timeout_s : float
+        Longest silence of the store during a call, in s. A large answer that still
+        arrives over a slow link is worth waiting for.
     max_idle : int
         Idle connections that are kept.
     on_call : callable
@@ -92,20 +99,31 @@
         except ConnectionBroken as error:
             self._on_call(name, "unreachable")
             raise StoreUnavailable(str(error), is_undone=True) from error
+        pending = connection.request(method, path, body, self._headers)
+        silence = self._reactor.callLater(self._call_timeout_s + wait_s, pending.cancel)
+        limit = self._reactor.callLater(LONGEST_CALL_S + wait_s, pending.cancel)
+        connection.on_progress = partial(self._extend, silence)
         try:
-            pending = connection.request(method, path, body, self._headers)
-            pending.addTimeout(self._call_timeout_s + wait_s, self._reactor)
             response = await pending
-        except (ConnectionBroken, TimeoutError) as error:
+        except (ConnectionBroken, CancelledError) as error:
             self._on_call(name, "unanswered")
             connection.abort()
             raise StoreUnavailable(f"No answer: {error}", is_undone=False) from error
+        finally:
+            connection.on_progress = None
+            for timer in (silence, limit):
+                if timer.active():
+                    timer.cancel()
         self._connections.give_back(connection)
         self._on_call(name, str(response.status))
         if response.status in NOTHING_DONE:
             raise StoreUnavailable(f"Answer {response.status}.", is_undone=True)
         return response
 
+    def _extend(self, silence: Any) -> None:
+        if silence.active():
+            silence.reset(self._call_timeout_s)
+
     def close(self) -> None:
         """Close idle connections."""
         self._connections.close()
