--- a/packages/guavabarrow-core/tests/test_operation_rate.py
+++ b/packages/guavabarrow-core/tests/test_operation_rate.py
@@ -132,6 +132,16 @@
     assert fleet.most_in_a_window() <= fleet.allowed
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("per_s", [5.0, 12.0])
+def test_the_first_tokens_of_a_large_fleet_stay_within_the_rate(seed, per_s):
+    """Load: a small team turns up at 72 VMs at once, where it was never seen."""
+    rng = np.random.default_rng(seed)
+    fleet = Fleet(72, TeamRate(per_s, per_s))
+    fleet.play(rng, 0.0, 8.0, 400.0, weights(rng, 72))
+    assert fleet.most_in_a_window() <= fleet.allowed
+
+
 def test_a_token_that_was_not_used_comes_back():
     rates = OperationRates("a")
     rates.configure({TEAM: TeamRate(1.0, 1.0)})
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -106,10 +106,52 @@
     ),
     Mutation(
         "operation_rate",
-        "return parts.get(vm, 1.0 / self.members)",
+        "return parts.get(source, self._vms_by_source[source] / self.members)",
         "return 0.0",
         "test_operation_rate",
     ),
+    Mutation(
+        "operation_rate",
+        "return whole + (1.0 if draw < burst - whole else 0.0)",
+        "return whole + 1.0",
+        "test_operation_rate",
+    ),
+    Mutation(
+        "rate_pool",
+        "if self.host and now - self._followed_at > AWAKE_S:",
+        "if self.host and now - self._followed_at > 99.0:",
+        "test_rate_pool",
+    ),
+    Mutation(
+        "rate_pool",
+        "if not view_by_vm and self._near:",
+        "if not view_by_vm and not self._near:",
+        "test_rate_pool",
+    ),
+    Mutation(
+        "rate_pool",
+        "reserve_part=self.alone.silent_part,",
+        "",
+        "test_rate_pool",
+    ),
+    Mutation(
+        "rate_pool",
+        "if self.pool is None and (is_agreed or",
+        "if self.pool is None and (True or",
+        "test_rate_pool",
+    ),
+    Mutation(
+        "rate_pool",
+        "if not was_alone:\n            self.alone.empty(now)",
+        "pass",
+        "test_rate_pool",
+    ),
+    Mutation(
+        "peer_topology",
+        "if vm in everywhere:",
+        "if not vm:",
+        "test_peer_topology",
+    ),
     Mutation(
         "store_clock",
         "self._low_offset_s = max(self._low_offset_s, sent_at - store_s)",
