--- a/packages/guavabarrow-core/src/guavabarrow_core/rate_pool.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/rate_pool.py
@@ -25,7 +25,7 @@
 and admit nothing on their own any more; several crossings of a slow link."""
 
 AGREEMENT_S = 2.0
-"""Time after which a host no longer waits for VMs that follow another one."""
+"""Time after which a host no longer waits for VMs that use the pool of another one."""
 
 SUSPECT_S = 1.0
 """Time for which a VM goes on alone after the host gave no answer."""
@@ -61,7 +61,7 @@
     Parameters
     ----------
     host : str
-        VM whose pool it uses or wants to use.
+        VM whose pool it uses, empty if it admits on its own part.
     has_pool : bool
         Whether it hosts an open pool.
     """
@@ -180,7 +180,7 @@
             self.pool = None
             self._use("", now)
             return
-        is_agreed = all(view.host == self.vm for view in view_by_vm.values())
+        is_agreed = all(view.host in ("", self.vm) for view in view_by_vm.values())
         if self.pool is None and (is_agreed or now - self._first_since > AGREEMENT_S):
             self._open(now)
         self._use(self.vm if self.pool is not None else "", now)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -34,7 +34,7 @@
     is_full : bool
         Whether teams that are missing have no demand.
     pool_host : str
-        VM of the own failure domain whose pool of tokens the sender uses.
+        VM of the own failure domain whose pool the sender uses, empty if none.
     has_pool : bool
         Whether the sender hosts an open pool.
     suspected : dict of str to str
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -66,6 +66,10 @@
 MIN_PULSE_S = 0.03
 """Shortest pause between two pulses of which one is sent because of a change."""
 
+SOON_S = 0.15
+"""Pause before a pulse for VMs that were linked; when many VMs start, links come up by
+the dozen, and a pulse for each would fill a slow one."""
+
 RELAY_LIMIT_S = 2.6
 """Age of the shared table up to which a VM leaves the store to its observer."""
 
@@ -141,6 +145,7 @@
         self._links = kernel.find(PeerLinks)
         self._pulse_by_vm: dict[str, tuple[float, Pulse]] = {}
         self._pulse_at = 0.0
+        self._is_pulse_due = False
         self._is_store_reachable: bool | None = None
         self._pulses: LoopingCall | None = None
 
@@ -420,11 +425,25 @@
 
     def pulse_now(self) -> None:
         """Tell the other VMs at once that something changed."""
-        if now_s() - self._pulse_at > MIN_PULSE_S:
+        wait_s = self._pulse_at + MIN_PULSE_S - now_s()
+        if wait_s <= 0.0:
+            self._pulse()
+        else:
+            self.pulse_soon(wait_s)
+
+    def pulse_soon(self, wait_s: float = SOON_S) -> None:
+        """Tell the other VMs shortly, together with what else changes until then."""
+        if not self._is_pulse_due:
+            self._is_pulse_due = True
+            self._reactor.callLater(wait_s, self._pulse_if_due)
+
+    def _pulse_if_due(self) -> None:
+        if self._is_pulse_due and not self.is_stopping:
             self._pulse()
 
     def _pulse(self) -> None:
         self._pulse_at = now_s()
+        self._is_pulse_due = False
         age_s = self.table_age_s()
         self.kernel.find(SessionMetrics).store_age.set(age_s)
         if age_s > STALE_S:
@@ -439,11 +458,10 @@
         for fill in self.fill_pulse:
             fill(draft)
         self._links.dial_missing()
-        self._links.broadcast_by_domain(
-            self._settings.domain,
-            inside=Pulse(**draft.common, **draft.inside),
-            outside=Pulse(**draft.common, **draft.outside),
-        )
+        inside = Pulse(**draft.common, **draft.inside)
+        outside = Pulse(**draft.common, **draft.outside)
+        domain = self._settings.domain
+        self._links.broadcast_by_domain(domain, inside=inside, outside=outside)
 
     def _on_message(self, vm: str, message: FleetMessage) -> None:
         match message:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
@@ -130,6 +130,7 @@
         self._wanted: dict[str, MemberRow] = {}
         self._dialling: set[str] = set()
         self._port: Any = None
+        self._is_stopped = False
         self.port = settings.peer_port
 
     async def start(self) -> None:
@@ -142,6 +143,7 @@
 
     async def stop(self) -> None:
         """Close all links."""
+        self._is_stopped = True
         if self._port is not None:
             self._port.stopListening()
         for link in list(self._link_by_vm.values()):
@@ -247,5 +249,9 @@
             await connectProtocol(endpoint, PeerLink(self, member.vm))
         except Exception as error:
             log_decision("peer_unreachable", peer=member.vm, detail=str(error))
-        # Later attempts are made by the regular check of missing links.
-        self._reactor.callLater(REDIAL_S, self._dialling.discard, member.vm)
+        self._reactor.callLater(REDIAL_S, self._end_pause, member.vm)
+
+    def _end_pause(self, vm: str) -> None:
+        self._dialling.discard(vm)
+        if not self._is_stopped:
+            self.dial_missing()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
@@ -35,6 +35,9 @@
 FULL_PULSE_EVERY = 8
 """Every so many pulses all demand is told, whatever was missed."""
 
+UNKNOWN_HOST = "?"
+"""Stands for the host of a VM that was linked and has not told it yet."""
+
 GRANT_TIMEOUT_S = 0.15
 """Many times a crossing and the host's own work; a statement still has most of its
 time left."""
@@ -92,6 +95,7 @@
         )
         self.rates = TeamRates(settings.vm, settings.domain, tolerance)
         self._domain_by_vm: dict[str, str] = {}
+        self._unheard: set[str] = set()
         self._news_inside = DemandNews()
         self._news_outside = DemandNews()
         self._number = 0
@@ -184,6 +188,8 @@
         # A VM that is linked anew knows none of the demand told before.
         self._news_inside.forget()
         self._news_outside.forget()
+        self._unheard.add(vm)
+        self._fleet.pulse_soon()
 
     def _on_rows(self, rows: list[VersionedRow]) -> None:
         self._set_members()
@@ -208,10 +214,12 @@
 
     def _on_pulse(self, vm: str, pulse: Pulse) -> None:
         now = now_s()
+        self._unheard.discard(vm)
         domain = self._domain_by_vm.get(vm)
         if domain == self._domain:
             self.rates.alone.learn(vm, pulse.demand_by_team, now, is_full=pulse.is_full)
-            if pulse.has_pool != (self.rates.host == vm):
+            is_news = pulse.has_pool != (self.rates.host == vm)
+            if is_news or self._fleet.observer() == self._vm != self.rates.host:
                 self._follow(now)
         elif domain is not None and pulse.has_pool:
             self.rates.learn_domain(
@@ -228,12 +236,14 @@
         for vm in self._links.contacts():
             if self._domain_by_vm.get(vm) == self._domain:
                 _, pulse = self._fleet.last_pulse(vm)
-                view_by_vm[vm] = NeighbourView(pulse.pool_host, pulse.has_pool)
+                host = UNKNOWN_HOST if vm in self._unheard else pulse.pool_host
+                view_by_vm[vm] = NeighbourView(host, pulse.has_pool)
         self.rates.follow(self._fleet.observer(), view_by_vm, now)
         if self.rates.host != former:
             log_decision("pool_host_changed", host=self.rates.host, former=former)
         if self.rates.pool is not None and not had_pool:
             self._news_outside.forget()
+        if self.rates.host != former:
             self._fleet.pulse_now()
 
     def _fill_pulse(self, draft: PulseDraft) -> None:
@@ -241,7 +251,7 @@
         self._set_members()
         self._follow(now)
         draft.inside.update(self._news_inside.take(self.rates.alone.demand(now)))
-        draft.inside["pool_host"] = self._fleet.observer()
+        draft.inside["pool_host"] = self.rates.host
         if self.rates.pool is None:
             return
         draft.common["has_pool"] = True
