--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(BIN)/python -m pip install --quiet --constraint constraints.txt --no-build-isolation \
 		--editable packages/guavabarrow-core \
 		--editable packages/guavabarrow-daemon \
-		--editable platform \
+		--editable "platform[commands]" \
 		--editable "packages/guavabarrow-cli[plots]"
 	$(BIN)/python -m pip install --quiet --constraint constraints.txt \
 		hypothesis mypy pytest pytest-bdd ruff
--- a/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
@@ -4,6 +4,7 @@
 
 import fire
 
+from guavabarrow_cli.commands.beliefs_command import beliefs
 from guavabarrow_cli.commands.demo_command import demo
 from guavabarrow_cli.commands.experiment_command import experiment
 from guavabarrow_cli.commands.explain_command import explain
@@ -22,6 +23,7 @@
 from guavabarrow_cli.commands.vm_commands import StatusCommand, VmCommand
 
 COMMANDS = {
+    "beliefs": beliefs,
     "demo": demo,
     "domain": DomainCommand,
     "experiment": experiment,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/readiness_site.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/readiness_site.py
@@ -1,12 +1,15 @@
-"""Answers the balancer's question for readiness, and serves metrics."""
+"""Answers the balancer's question for readiness, and serves metrics and beliefs."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from guavabarrow_daemon.front.session_front import SessionFront
 from guavabarrow_daemon.http.site import Routes, TrackedSite, answer
 from guavabarrow_daemon.kernel import Kernel, Service
+from guavabarrow_daemon.operations.beliefs import read_beliefs
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 from guavabarrow_daemon.session_settings import SessionVmSettings, split_address
 
@@ -14,6 +17,7 @@
     from twisted.web.server import Request
 
 METRICS_PATH = "/metrics"
+BELIEFS_PATH = "/beliefs"
 
 
 class ReadinessSite(Service):
@@ -47,10 +51,15 @@
         async def show(request: Request) -> None:
             answer(request, 200, metrics.render(), b"text/plain; version=0.0.4")
 
+        async def show_beliefs(request: Request) -> None:
+            answer(request, 200, msgspec.json.encode(read_beliefs(self.kernel)))
+
         host, port = split_address(self._settings.ready_address)
-        self._listen(host, port, self._ready_path, ready)
+        self._listen(host, port, {self._ready_path: ready})
         self._listen(
-            self._settings.host, self._settings.metrics_port, METRICS_PATH, show
+            self._settings.host,
+            self._settings.metrics_port,
+            {METRICS_PATH: show, BELIEFS_PATH: show_beliefs},
         )
 
     async def stop(self) -> None:
@@ -58,9 +67,10 @@
         for port in self._ports:
             port.stopListening()
 
-    def _listen(self, host: str, port: int, path: str, handler: Any) -> None:
+    def _listen(self, host: str, port: int, handler_by_path: dict[str, Any]) -> None:
         routes = Routes()
-        routes.add("GET", path, handler)
+        for path, handler in handler_by_path.items():
+            routes.add("GET", path, handler)
         self._ports.append(
             self._reactor.listenTCP(port, TrackedSite(routes), interface=host)
         )
--- a/tests/platform_adapter/test_session_vm.py
+++ b/tests/platform_adapter/test_session_vm.py
@@ -8,6 +8,8 @@
 import pytest
 from session_world import KEY, TEAM, Caller, wait_for
 
+from guavabarrow_cli.commands.beliefs_command import beliefs, fetch_beliefs
+
 pytestmark = pytest.mark.processes
 
 
@@ -212,3 +214,24 @@
         session_world.group.register(database)
     time.sleep(1.0)
     assert all(session_world.can_write(vm) for vm in vms)
+
+
+def test_a_vm_shows_what_it_believes(session_world, capsys):
+    vm = session_world.start_vm("vm-1")
+    address = f"127.0.0.1:{vm.metrics_port}"
+    known = fetch_beliefs(address)
+    assert known.is_registered
+    assert known.duty_holder == "vm-1"
+    assert [p.may_be_used for p in known.primaries] == [True]
+    assert known.primaries[0].target == session_world.group.primary.target_id
+    assert len(known.targets) == 3
+    beliefs(address)
+    assert "registered" in capsys.readouterr().out
+
+
+def test_beliefs_of_a_vm_that_does_not_answer_are_an_error(capsys):
+    with pytest.raises(SystemExit):
+        fetch_beliefs("127.0.0.1:1")
+    with pytest.raises(SystemExit):
+        fetch_beliefs("nowhere")
+    assert "HOST:PORT" in capsys.readouterr().err
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -7,6 +7,7 @@
 import pytest
 
 from guavabarrow_daemon.settings import SettingsError
+from guavabarrow_platform.check_commands import check_deploy, check_settings
 from guavabarrow_platform.settings import load_settings
 
 SETTINGS = {
@@ -56,3 +57,34 @@
 def test_refuses_a_file_that_does_not_exist(tmp_path):
     with pytest.raises(SettingsError):
         load_settings(str(tmp_path / "missing.yaml"))
+
+
+def test_the_deploy_file_of_the_tree_has_no_mistakes(capsys):
+    check_deploy("deploy/system.toml")
+    assert "no mistakes" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("text", "mistake"),
+    [
+        ("", "build"),
+        ('build = "x"\n[roles.a]\nrun = "y"\non = "front"\nshare = 2.0', "share"),
+        ('build = "x"\n[roles.a]\nrun = "y"\non = "front"\nsevres = []', "sevres"),
+        ("build = ", "Invalid value"),
+    ],
+)
+def test_a_deploy_file_with_mistakes_is_refused(tmp_path, capsys, text, mistake):
+    path = tmp_path / "system.toml"
+    path.write_text(text)
+    with pytest.raises(SystemExit) as stopped:
+        check_deploy(str(path))
+    assert stopped.value.code == 2
+    assert mistake in capsys.readouterr().err
+
+
+def test_a_settings_file_with_mistakes_is_refused(tmp_path, capsys):
+    path = tmp_path / "settings.yaml"
+    path.write_text("NodeName: a")
+    with pytest.raises(SystemExit):
+        check_settings(str(path))
+    assert "zone" in capsys.readouterr().err.lower()
