--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/group.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/group.py
@@ -24,7 +24,7 @@
 from guavabarrow_core.log_position import LogPosition
 from guavabarrow_core.trace import TraceStart
 from guavabarrow_daemon.state_log import log_state
-from guavabarrow_daemon.target_watch import TargetWatch
+from guavabarrow_daemon.target_watch import ReportReceiver, TargetWatch
 from guavabarrow_daemon.targets.interface import (
     SqlDriver,
     TargetBroken,
@@ -79,7 +79,7 @@
     pool_by_target: dict[str, PermitPool] = field(default_factory=dict)
 
 
-class Group:
+class Group(ReportReceiver):
     """One database group at this VM.
 
     Parameters
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/target_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/target_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -18,13 +19,25 @@
 
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Target
-    from guavabarrow_daemon.group import Group
 
 HOLD_S = 0.5
 WATCH_TIMEOUT_S = 1.0
 RETRY_S = 0.1
 
 
+class ReportReceiver(ABC):
+    """Takes what is learnt about the databases of one group."""
+
+    @property
+    @abstractmethod
+    def watch_interval_s(self) -> float:
+        """Shortest time between two probes of a database, in s."""
+
+    @abstractmethod
+    def step(self, event: ProbeFailed | ReportReceived) -> None:
+        """Handle an event."""
+
+
 class TargetWatch:
     """Task that keeps one database's status up to date.
 
@@ -34,14 +47,18 @@
         Database.
     control : TargetControl
         Control client that this task owns.
-    group : Group
+    group : ReportReceiver
         Receiver of the events.
     reactor : object
         Clock.
     """
 
     def __init__(
-        self, target: Target, control: TargetControl, group: Group, reactor: Any
+        self,
+        target: Target,
+        control: TargetControl,
+        group: ReportReceiver,
+        reactor: Any,
     ) -> None:
         self.target = target
         self.control = control
