--- a/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
@@ -59,6 +59,7 @@
 
     entry_by_id: dict[str, TargetEntry] = field(default_factory=dict)
     as_of: float = float("-inf")
+    _proven_at: dict[str, float] = field(default_factory=dict)
     _outage_at: float = float("-inf")
     _returned_at: float = float("-inf")
 
@@ -66,6 +67,23 @@
         """Record that the store gave no answer."""
         self._outage_at = now
 
+    def prove(self, entry: TargetEntry, now: float) -> bool:
+        """Keep a target that answered although its entry lapsed.
+
+        Targets that were cut off from the store are missing from the list for a
+        moment after they are back.
+
+        Returns
+        -------
+        bool
+            Whether it was missing.
+        """
+        self._proven_at[entry.target_id] = now
+        if entry.target_id in self.entry_by_id:
+            return False
+        self.entry_by_id[entry.target_id] = entry
+        return True
+
     def read(
         self, entries: list[TargetEntry], now: float
     ) -> tuple[list[str], list[str]]:
@@ -95,8 +113,14 @@
         missing = [key for key in self.entry_by_id if key not in current]
         if now - self._returned_at < RETURN_GRACE_S:
             missing = [key for key in missing if self._is_replaced(key, current)]
+        missing = [
+            key
+            for key in missing
+            if now - self._proven_at.get(key, float("-inf")) > RETURN_GRACE_S
+        ]
         for target_id in missing:
             del self.entry_by_id[target_id]
+            self._proven_at.pop(target_id, None)
         self.entry_by_id.update(current)
         return changed, missing
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -86,6 +86,7 @@
         self._fleet = kernel.find(FleetService)
         self._links = kernel.find(PeerLinks)
         self._suspected: dict[str, tuple[str, float]] = {}
+        self._last_entry_by_id: dict[str, TargetEntry] = {}
         self.change = 0
         self._leaving_since: dict[str, float] = {}
         self._is_stopping = False
@@ -198,6 +199,7 @@
         outage_at = max(self._fleet.store_failed_at, self._fleet.stale_at)
         if outage_at > self.directory.as_of:
             self.directory.note_outage(outage_at)
+        known = dict(self.directory.entry_by_id)
         changed, gone = self.directory.read(entries, now_s() - age_s)
         if not changed and not gone:
             return
@@ -216,9 +218,23 @@
                 self.pool(entry)
         for target_id in gone:
             log_decision("target_gone", target=target_id)
+            self._last_entry_by_id[target_id] = known[target_id]
             pool = self.pool_by_id.pop(target_id, None)
             if pool is not None:
                 pool.shut("The target is gone.")
+        self._tell_change()
+
+    def last_entry(self, target_id: str) -> TargetEntry | None:
+        """Return a target's entry, or the last one if it lapsed."""
+        return self.entry(target_id) or self._last_entry_by_id.get(target_id)
+
+    def prove(self, entry: TargetEntry) -> None:
+        """Take note that a target answered under its own name."""
+        if self.directory.prove(entry, now_s()):
+            log_decision("target_proven", target=entry.target_id)
+            self._tell_change()
+
+    def _tell_change(self) -> None:
         self.change = xxh3_64_intdigest(msgspec.msgpack.encode(self.entries()))
         for callback in self.on_changed:
             callback()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
@@ -88,7 +88,7 @@
             if not isinstance(lead, LeadRow):
                 continue
             primaries.add(lead.primary_id)
-            entry = self._directory.entry(lead.primary_id)
+            entry = self._directory.last_entry(lead.primary_id)
             if entry is not None and self._is_due(lead, now):
                 self._probing.add(lead.primary_id)
                 Deferred.fromCoroutine(self._probe(entry))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -301,10 +301,13 @@
         asked_at = now_s()
         entries = [
             entry
-            for entry in map(self._directory.entry, target_ids)
+            for entry in map(self._directory.last_entry, target_ids)
             if entry is not None
         ]
         statuses = await self._questions.statuses(entries)
+        for entry in entries:
+            if entry.target_id == promotion.old_id and entry.target_id in statuses:
+                self._directory.prove(entry)
         actions = promotion.on_statuses(statuses, now_s())
         log_decision(
             "replicas_compared",
--- a/packages/guavabarrow-daemon/tests/sim_fleet.py
+++ b/packages/guavabarrow-daemon/tests/sim_fleet.py
@@ -253,6 +253,8 @@
         self.network.is_cut = is_cut
 
     def _judge(self) -> None:
+        for target in self.group.targets:
+            self.group.last_beat(target)
         leader = self.group.leader.target_id
         for vm in self.vm_by_name.values():
             used = vm.primary()
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -34,6 +34,7 @@
 POLL_S = 0.02
 PROMOTION_S = 0.3
 STORE_HOST = "store"
+BEAT_S = 1.2
 ENTRY_LAG_S = 2.0
 SERVICE = "orders"
 CONFIGURATION_KEY = "configuration"
@@ -197,7 +198,7 @@
     term: int = 1
     term_led: int = 0
     is_alive: bool = True
-    died_at: float = float("-inf")
+    beat_at: float = 0.0
 
 
 @dataclass
@@ -214,10 +215,18 @@
         """Target whose term is the newest among those that ever led."""
         return max((t for t in self.targets if t.term_led), key=lambda t: t.term_led)
 
+    def last_beat(self, target: SimTarget) -> float:
+        """Return when a target last wrote its entry."""
+        is_cut = self.network.is_cut
+        if target.is_alive and not (
+            is_cut(target.host, STORE_HOST) or is_cut(STORE_HOST, target.host)
+        ):
+            target.beat_at = self.network.now - self.network.now % BEAT_S
+        return target.beat_at
+
     def crash(self, target: SimTarget) -> None:
         """End a target's process."""
         target.is_alive = False
-        target.died_at = self.network.now
 
     def restart(self, target: SimTarget) -> None:
         """Start it again; it follows whoever leads."""
@@ -256,7 +265,7 @@
                 target.is_primary,
             )
             for target in self._group.targets
-            if target.is_alive or now - target.died_at < ENTRY_LAG_S
+            if now - self._group.last_beat(target) < ENTRY_LAG_S
         ]
         return entries, []
 
--- a/packages/guavabarrow-daemon/tests/test_fleet_faults.py
+++ b/packages/guavabarrow-daemon/tests/test_fleet_faults.py
@@ -138,6 +138,22 @@
     fleet.assert_safe()
 
 
+@pytest.mark.parametrize("resets", [False, True])
+def test_a_primary_that_is_back_from_a_cut_before_it_was_replaced_stays(fleet, resets):
+    """Seen on two incidents: the entry of a primary that was cut off lapsed, nobody
+    asked it once more, and what it had acknowledged meanwhile was rolled back."""
+    fleet.network.resets = resets
+    fleet.cut_domain("north")
+    fleet.run(5.3)
+    fleet.heal()
+    took_s = fleet.run_until(lambda: fleet.is_served_by("target-north"), 3.0)
+    fleet.run(6.0)
+    assert fleet.is_served_by("target-north")
+    assert fleet.group.orders == []
+    assert took_s < 2.0
+    fleet.assert_safe()
+
+
 def test_a_domain_that_reaches_only_the_store(fleet):
     fleet.cut_domain("north", store=False)
     fleet.run(12.0)
