--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -230,7 +230,7 @@
                 if not self.state.is_registered():
                     await deferLater(self._reactor, RETRY_S, lambda: None)
                 continue
-            if self._is_relayed() and not self._has_duty():
+            if self._is_relayed():
                 await deferLater(self._reactor, RELAY_CHECK_S, lambda: None)
                 continue
             sent_at = now_s()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -129,12 +129,23 @@
             pulse.rows_version > self._fleet.state.rows_version
             or pulse.orders_version > self._fleet.orders_row_version
         )
+        is_newer = is_newer or self._observer_lacks(pulse.orders_version)
         has_targets = self._follow_directory(vm, pulse)
         if not (is_ahead or is_newer or has_targets):
             return
         if now_s() - self._answered_at_by_vm.get(vm, 0.0) > MIN_GAIN_S:
             self._ask(vm)
 
+    def _observer_lacks(self, orders_version: int) -> bool:
+        """Tell whether to take orders from elsewhere: the store may turn it away."""
+        if orders_version <= self._fleet.orders_row_version:
+            return False
+        observer = self._fleet.observer()
+        if observer == self._fleet.state.vm:
+            return True
+        _, pulse = self._fleet.last_pulse(observer)
+        return pulse.orders_version < orders_version and not self._ask_by_vm
+
     def _follow_directory(self, vm: str, pulse: Pulse) -> bool:
         duty = self._fleet.state.duty()
         is_reader = duty is not None and duty.holder == vm
--- a/packages/guavabarrow-daemon/tests/test_fleet_faults.py
+++ b/packages/guavabarrow-daemon/tests/test_fleet_faults.py
@@ -23,6 +23,9 @@
 CONFIGURATION_S = 5.0
 """Time in which the deployments want a configuration in force at all VMs."""
 
+TURNED_AWAY_S = 3.0
+"""The same on the deployment that wants it soonest."""
+
 SLOW_LINK_BYTES_PER_S = 312_500.0
 """5 Mbit/s, the slowest link of a deployment, half of it for callers."""
 
@@ -229,6 +232,22 @@
     fleet.assert_safe()
 
 
+@pytest.mark.parametrize("with_holder", [False, True])
+def test_a_configuration_reaches_all_vms_though_their_observers_are_turned_away(
+    fleet, with_holder
+):
+    """Seen in a hunt: the table that VMs share stayed young through the holder of the
+    duty, so nobody looked at the operators' table."""
+    away = {"east-0", "north-0", "west-0"}
+    if with_holder:
+        away.add(fleet.holder())
+    fleet.store.away_from = fleet.orders.away_from = away
+    fleet.run(0.2)
+    version = publish(fleet.orders)
+    fleet.run_until(lambda: fleet.has_configuration(version), TURNED_AWAY_S)
+    fleet.assert_safe()
+
+
 def test_large_configurations_in_a_row_reach_vms_behind_slow_links(monkeypatch):
     """Seen on a played day: a VM took an answer of 400 KB for too late, asked again,
     and so filled its own link for 15 s.
