--- a/tests/platform_adapter/standin_platform.py
+++ b/tests/platform_adapter/standin_platform.py
@@ -155,6 +155,8 @@
     log: list[tuple[int, str, str]] = field(default_factory=list)
     is_running: bool = True
     loses_next_answer: bool = False
+    silent_before: float = 0.0
+    """Connections opened before this moment get no more answers."""
 
     def __post_init__(self) -> None:
         self.connections: set[socket.socket] = set()
@@ -217,6 +219,7 @@
         self.lock = threading.RLock()
         self.ran: list[RanStatement] = []
         self.promotes_after_s = 0.0
+        self.ships = True
         self.databases = [
             StandInDatabase(self, f"i-{name}-{number}", number == 0)
             for number in range(size)
@@ -270,6 +273,8 @@
         """Commit writes at the primary and ship them."""
         for item, data in writes:
             database.log.append((database.term, item, data))
+        if not self.ships:
+            return
         for other in self.databases:
             if other.is_running and other is not database:
                 other.log = list(database.log)
@@ -293,10 +298,13 @@
         self._state = "I"
         self._is_plain = False
         self._writes: list[tuple[str, str]] = []
+        self._opened_at = time.monotonic()
 
     def run(self) -> None:
         """Answer messages until the peer leaves."""
         for raw in self._handler.rfile:
+            if self._opened_at < self._database.silent_before:
+                continue
             word, _, rest = raw.decode().rstrip("\r\n").partition(" ")
             if word == "TERMINATE" or not self._database.is_running:
                 return
--- a/tests/platform_adapter/test_session_vm.py
+++ b/tests/platform_adapter/test_session_vm.py
@@ -12,6 +12,12 @@
 
 pytestmark = pytest.mark.processes
 
+ROUTE_TIMEOUT_S = 3.0
+"""Limit of a statement on the routes of the stand-in configuration."""
+
+CONFIGURATION_S = 5.0
+"""Time in which the deployments want a configuration in force."""
+
 
 def test_a_session_reads_what_it_wrote_with_the_targets_own_signature(session_world):
     vm = session_world.start_vm("vm-1")
@@ -162,6 +168,60 @@
     assert caller.ask("WRITE away x")[1].startswith("COMPLETE")
 
 
+def test_reads_see_what_was_written_while_the_primary_is_cut_off_from_its_replicas(
+    session_world,
+):
+    vm = session_world.start_vm("vm-1")
+    session_world.group.ships = False
+    writer, reader = Caller(vm.front, "read-your-writes"), Caller(vm.front, "primary")
+    for number in range(5):
+        assert writer.ask(f"WRITE item-1 v{number}")[1].startswith("COMPLETE")
+        assert writer.ask("READ item-1")[0] == [f"v{number}"]
+        assert reader.ask("READ item-1")[0] == [f"v{number}"]
+    old = session_world.group.primary
+    old.crash()
+    wait_for(lambda: session_world.can_write(vm), "writes at the next primary")
+
+
+def test_a_write_on_a_connection_that_went_silent_is_in_doubt_and_not_repeated(
+    session_world,
+):
+    vm = session_world.start_vm("vm-1")
+    caller = Caller(vm.front, "primary")
+    assert caller.ask("WRITE item-1 first")[1].startswith("COMPLETE")
+    for database in session_world.group.databases:
+        database.silent_before = time.monotonic()
+    began_at = time.monotonic()
+    outcome = caller.ask("WRITE item-1 second")[1]
+    took_s = time.monotonic() - began_at
+    if not outcome.startswith("COMPLETE"):
+        # The idle connection was used before the pool closed it.
+        assert outcome.startswith("ERROR INDOUBT")
+        assert took_s < ROUTE_TIMEOUT_S + 1.0
+        ran = [one for one in session_world.group.ran if "second" in one.text]
+        assert ran == []
+    assert caller.ask("WRITE item-1 third")[1].startswith("COMPLETE")
+    assert caller.ask("READ item-1")[0] == ["third"]
+
+
+def test_a_key_withdrawn_while_the_store_is_away_stops_working_after_its_return(
+    session_world,
+):
+    vm = session_world.start_vm("vm-1")
+    caller = Caller(vm.front, "primary")
+    assert caller.ask("READ item-1")[1].startswith("COMPLETE")
+    session_world.store.is_down = True
+    time.sleep(1.0)
+    session_world.configure(keys=("another-key",))
+    assert caller.ask("READ item-1")[1].startswith("COMPLETE")
+    session_world.store.is_down = False
+    wait_for(
+        lambda: Caller(vm.front, "primary").greeting.startswith("ERROR NOAUTH"),
+        "the withdrawal in force",
+        timeout_s=CONFIGURATION_S,
+    )
+
+
 def test_a_signal_to_stop_lets_a_transaction_end(session_world):
     vm = session_world.start_vm("vm-1")
     caller = Caller(vm.front, "primary")
