Keep a primary that another failure domain still reaches

Cause: when two domains lost each other and the holder of the duty was in one of them, it took a primary of the other for dead on its own probe and its neighbours' votes; the promotion rolled back what callers of the third domain had committed, and the duty moved back and forth.

Change: a holder that can't reach a primary has one hub of each other domain probe it. An answer keeps the primary's lapsed entry.

Ruled out: a longer detection time; the cut lasts longer than any that failover allows.

--- a/packages/guavabarrow-core/tests/test_primary_evidence.py
+++ b/packages/guavabarrow-core/tests/test_primary_evidence.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from guavabarrow_core.primary_evidence import (
     CONFIRM_S,
     PROBE_VALID_S,
@@ -78,3 +80,35 @@
         evidence.record_vote(vm, False, 1.0)
     assert evidence.votes(1.1) == 4
     assert evidence.votes(1.0 + VOTE_VALID_S + 0.01) == 0
+
+
+@pytest.mark.parametrize("result", [ProbeResult.SILENT, ProbeResult.REFUSED])
+def test_a_primary_that_another_domain_reaches_is_kept(result):
+    """A cut between two domains replaced a primary that a third one still used."""
+    evidence = PrimaryEvidence()
+    evidence.record_probe(result, 1.0)
+    evidence.record_relayed_answer(1.0)
+    evidence.record_vote("b", False, 1.0)
+    evidence.record_vote("c", False, 1.0)
+    check_failed(evidence, 1.0)
+    assert not check_failed(evidence, 1.0 + CONFIRMED_S)
+    assert evidence.is_reachable(1.1)
+
+
+def test_a_primary_that_most_vms_cannot_use_is_replaced_although_others_reach_it():
+    evidence = PrimaryEvidence()
+    evidence.record_probe(ProbeResult.SILENT, 1.0)
+    evidence.record_relayed_answer(1.0)
+    for vm in "bcdef":
+        evidence.record_vote(vm, False, 1.0)
+    check_failed(evidence, 1.0)
+    assert check_failed(evidence, 1.0 + CONFIRMED_S)
+
+
+def test_an_old_relayed_answer_does_not_keep_a_failed_primary():
+    evidence = PrimaryEvidence()
+    evidence.record_relayed_answer(1.0)
+    later = 1.0 + PROBE_VALID_S + 0.01
+    evidence.record_probe(ProbeResult.REFUSED, later)
+    check_failed(evidence, later)
+    assert check_failed(evidence, later + CONFIRMED_S)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
@@ -10,6 +10,12 @@
 from guavabarrow_core.primary_evidence import PrimaryEvidence, ProbeResult
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.duty_service import DutyService
+from guavabarrow_daemon.fleet.fleet_messages import (
+    FleetMessage,
+    PeerHeartbeat,
+    ProbeAnswer,
+    ProbeRequest,
+)
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -20,8 +26,6 @@
 
 if TYPE_CHECKING:
     from guavabarrow_core.target_directory import TargetEntry
-    from guavabarrow_daemon.fleet.fleet_messages import PeerHeartbeat
-
 PROBE_INTERVAL_S = 0.6
 """Probe interval for a primary that has not answered this VM recently."""
 
@@ -46,10 +50,12 @@
         self._admin_client = TargetAdminClient(self._directory.create_codec, reactor)
         self._evidence_by_id: dict[str, PrimaryEvidence] = {}
         self._probing: set[str] = set()
+        self._relayed_probes: set[str] = set()
 
     async def start(self) -> None:
-        """Subscribe to heartbeats and to the checks of the duty holder."""
+        """Subscribe to peers and to the checks of the duty holder."""
         self._fleet.on_heartbeat.append(self._on_heartbeat)
+        self._links.on_peer_message.append(self._on_message)
         self._duty.on_check.append(self._check)
 
     def is_failed(self, target_id: str, now: float) -> bool:
@@ -69,19 +75,24 @@
         evidence = self._evidence(target_id)
         probe = evidence.probe.value if evidence.probe else "none"
         age_s = now - evidence.probed_at
-        return f"probe={probe} age_s={age_s:.2f} votes={evidence.votes(now)}"
+        relayed_age_s = min(99.0, now - evidence.relayed_at)
+        return (
+            f"probe={probe} age_s={age_s:.2f} votes={evidence.votes(now)} "
+            f"relayed_age_s={relayed_age_s:.2f}"
+        )
 
     def _evidence(self, target_id: str) -> PrimaryEvidence:
         return self._evidence_by_id.setdefault(target_id, PrimaryEvidence())
 
     def _on_heartbeat(self, vm: str, heartbeat: PeerHeartbeat) -> None:
+        if not self._fleet.is_duty_holder():
+            return
         now = now_s()
-        for versioned in self._fleet.state.row_by_key.values():
-            if isinstance(versioned.row, LeadRow):
-                target_id = versioned.row.primary_id
-                self._evidence(target_id).record_vote(
-                    vm, target_id not in heartbeat.suspected, now
-                )
+        for primary_row in self._fleet.state.primary_rows():
+            target_id = primary_row.primary_id
+            self._evidence(target_id).record_vote(
+                vm, target_id not in heartbeat.suspected, now
+            )
 
     def _check(self, now: float) -> None:
         primaries = set()
@@ -123,13 +134,56 @@
         try:
             connection = await self._admin_client.open_connection(entry)
             connection.close()
-            primary_row = self._fleet.state.primary_row(entry.service)
-            if primary_row is not None and primary_row.phase is LeadPhase.MOVING:
-                self._directory.confirm_entry(entry)
+            self._keep_listed(entry.target_id)
         except TargetUnreachable as error:
             result = ProbeResult.REFUSED if error.is_refused else ProbeResult.SILENT
             log_decision(
                 "primary_probe_failed", target=entry.target_id, detail=str(error)
             )
+            self._request_relayed_probes(entry.target_id)
         self._evidence(entry.target_id).record_probe(result, now_s())
         self._probing.discard(entry.target_id)
+
+    def _keep_listed(self, target_id: str) -> None:
+        """Keep a primary that is being replaced in the list, because it answered."""
+        entry = self._directory.last_known_entry(target_id)
+        if entry is None:
+            return
+        primary_row = self._fleet.state.primary_row(entry.service)
+        if primary_row is not None and primary_row.phase is LeadPhase.MOVING:
+            self._directory.confirm_entry(entry)
+
+    def _request_relayed_probes(self, target_id: str) -> None:
+        """Request a probe from one VM of each other failure domain."""
+        live_peers = self._links.live_peers()
+        for domain, hubs in self._fleet.hubs_by_domain.items():
+            hub = next((vm for vm in hubs if vm in live_peers), None)
+            if hub is not None and domain != self._fleet.domain:
+                self._links.send(hub, ProbeRequest(target_id))
+
+    def _on_message(self, vm: str, message: FleetMessage) -> None:
+        match message:
+            case ProbeRequest(target_id):
+                entry = self._directory.last_known_entry(target_id)
+                if entry is not None and target_id not in self._relayed_probes:
+                    self._relayed_probes.add(target_id)
+                    Deferred.fromCoroutine(self._probe_for(vm, entry))
+            case ProbeAnswer(target_id):
+                self._evidence(target_id).record_relayed_answer(now_s())
+                self._keep_listed(target_id)
+
+    async def _probe_for(self, vm: str, entry: TargetEntry) -> None:
+        try:
+            connection = await self._admin_client.open_connection(entry)
+            connection.close()
+        except TargetUnreachable as error:
+            log_decision(
+                "relayed_probe_failed",
+                target=entry.target_id,
+                requested_by=vm,
+                detail=str(error),
+            )
+        else:
+            self._links.send(vm, ProbeAnswer(entry.target_id))
+        finally:
+            self._relayed_probes.discard(entry.target_id)
