Let registered VMs sponsor those that start while the store is away

Cause: a VM that starts during an outage of the store knows the primaries from its peers but can't register, so it refused every statement until the store was back.

Change: a registered VM grants it the use of primaries for 1 s at a time, counted from the request, together with all rows that it lacks.

Ruled out: letting unregistered VMs use the table's lease alone; a promotion would not wait for them (test_the_check_detects_sponsorships_that_outlast_their_request).

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -14,6 +14,7 @@
 
 from twisted.internet.task import LoopingCall
 
+from guavabarrow_core.fleet_state import SPONSORSHIP_S
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.fleet_messages import (
     FleetMessage,
@@ -42,6 +43,10 @@
 """Such a VM is asked if its table is newer by at least this much. After its answer, its
 heartbeats trigger no further request for the same time."""
 
+SPONSOR_INTERVAL_S = 0.35
+"""Interval at which a VM that can't register requests a sponsorship; a third of how
+long one lasts."""
+
 ANSWER_TIMEOUT_S = 5.0
 """An unanswered request is repeated after this long. A large answer takes seconds on a
 slow link, and repeating the request sooner would only delay it further."""
@@ -71,6 +76,7 @@
         self._compressed_by_key: dict[str, SharedRow] = {}
         self._last_number = 0
         self._request_loop: LoopingCall | None = None
+        self._sponsor_loop: LoopingCall | None = None
 
     async def start(self) -> None:
         """Start to send requests."""
@@ -79,11 +85,15 @@
         self._request_loop = LoopingCall(self._request_from_observer)
         self._request_loop.clock = self._reactor
         self._request_loop.start(REQUEST_INTERVAL_S, now=False)
+        self._sponsor_loop = LoopingCall(self._request_sponsorship)
+        self._sponsor_loop.clock = self._reactor
+        self._sponsor_loop.start(SPONSOR_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
         """Stop sending requests."""
-        if self._request_loop is not None and self._request_loop.running:
-            self._request_loop.stop()
+        for loop in (self._request_loop, self._sponsor_loop):
+            if loop is not None and loop.running:
+                loop.stop()
 
     def _drop_pending(self, vm: str) -> None:
         # A request on the previous connection is not answered on the new one.
@@ -94,10 +104,41 @@
         if observer != self._fleet.state.vm:
             self._request(observer)
 
-    def _request(self, vm: str) -> None:
-        now = now_s()
+    def _request_sponsorship(self) -> None:
+        """Request a sponsorship from a registered VM while this one is not registered.
+
+        A VM that did not answer the last request is not asked again at once.
+        """
+        state = self._fleet.state
+        if state.version == 0 or state.is_registered():
+            return
+        members = state.member_by_vm()
+        candidates = [
+            members[vm]
+            for vm in self._links.live_peers()
+            if vm in members
+            and not members[vm].is_out
+            and members[vm].incarnation == self._links.incarnation_of(vm)
+            and not self._is_awaited(vm)
+        ]
+        if candidates:
+            chosen = min(
+                candidates,
+                key=lambda member: (
+                    member.vm != state.sponsor,
+                    member.domain != self._fleet.domain,
+                    member.relay_order,
+                ),
+            )
+            self._request(chosen.vm, wants_sponsor=True)
+
+    def _is_awaited(self, vm: str) -> bool:
         pending = self._pending_by_vm.get(vm)
-        if pending is not None and now - pending.sent_at < ANSWER_TIMEOUT_S:
+        return pending is not None and now_s() - pending.sent_at < ANSWER_TIMEOUT_S
+
+    def _request(self, vm: str, *, wants_sponsor: bool = False) -> None:
+        now = now_s()
+        if self._is_awaited(vm):
             return
         if not self._links.is_linked(vm):
             return
@@ -108,6 +149,7 @@
             self._fleet.state.rows_version,
             self._fleet.orders_row_version,
             self._directory.list_digest,
+            wants_sponsor,
         )
         self._links.send(vm, request)
 
@@ -185,9 +227,18 @@
             directory_age_s=self._directory.age_s,
             directory_change=self._directory.list_digest,
             targets=None if is_current else self._directory.entries(),
+            is_sponsor=request.wants_sponsor and self._grant_sponsorship(),
         )
         self._links.send(vm, answer)
 
+    def _grant_sponsorship(self) -> bool:
+        now = now_s()
+        state = self._fleet.state
+        if not (state.is_registered() and state.has_primary_lease(now)):
+            return False
+        self._fleet.sponsoring_until = now + SPONSORSHIP_S
+        return True
+
     def _compress(self, row: SharedRow) -> SharedRow:
         compressed = self._compressed_by_key.get(row.key)
         if compressed is None or compressed.version != row.version:
@@ -217,12 +268,23 @@
             answer.rows_version,
             answer.heard_store_s,
         )
+        if answer.is_sponsor:
+            self._accept_sponsorship(vm, answer, sent_at)
         if orders:
             self._fleet.apply_relayed_orders(orders)
         if answer.targets is not None:
             age_s = answer.directory_age_s + now_s() - sent_at
             self._directory.apply_relayed_listing(answer.targets, age_s)
 
+    def _accept_sponsorship(self, vm: str, answer: TableAnswer, sent_at: float) -> None:
+        # The sponsor relies on these rows being known here, also those of a table that
+        # is otherwise older than this VM's.
+        self._fleet.merge_relayed_rows(answer.rows)
+        state = self._fleet.state
+        if vm != state.sponsor or now_s() > state.sponsored_until:
+            log_decision("sponsored", sponsor=vm, table_age_s=self._fleet.table_age_s())
+        state.accept_sponsorship(vm, self._links.incarnation_of(vm), sent_at)
+
 
 def _to_shared_row(row: VersionedRow) -> SharedRow:
     value = None if row.row is None else encode_row(row.row)
