Accept a write's answer until this VM has confirmed that it stopped

In a planned replacement the row is marked before running work has ended, so an answer that came in between was reported as in doubt, although the replacement was still waiting for this VM.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -164,7 +164,9 @@
                 reply = await self._exchange.run(
                     context, connection, pool, data, restore_count, is_write=True
                 )
-                is_valid = self._primary_service.may_use(service, pool.entry.target_id)
+                is_valid = self._primary_service.may_accept_answer(
+                    service, pool.entry.target_id
+                )
             finally:
                 self._primary_service.end_work(service)
                 pool.load.running -= 1
@@ -308,10 +310,11 @@
                 f"Rolled back: {error.detail}",
                 retry_after_s=RETRY_AFTER_S,
             ) from error
-        is_still_primary = not transaction.at_primary or self._primary_service.may_use(
-            transaction.service, target_id
+        is_valid = (
+            not transaction.at_primary
+            or self._primary_service.may_accept_answer(transaction.service, target_id)
         )
-        if reply.failure is None and not is_still_primary and is_commit:
+        if reply.failure is None and not is_valid and is_commit:
             self.end(transaction)
             raise SessionError(
                 FailureCode.OUTCOME_UNKNOWN,
