Admit callers that return together: departures, waiting, initial tokens

(1) The last VM of a domain of two took itself for isolated when the other one was stopped, and admitted a ninth instead of a third of the rate. (2) A refused caller tries again at once, so bursts above the share of the moment used up its three attempts and tripled the demand. (3) A pool that opened before the first operation started empty: the tokens of a new process were counted only for teams seen.

Change: a VM that stops as planned says so when it has closed everything; the others take its share over, and a replacement does not wait for it. An operation whose token is due within half of its objective waits for it; others are refused at once. The pool of a new process starts with the tokens of 0.5 s.

Ruled out: taking a killed VM's share over as well; nothing tells a kill from a cut.

--- a/packages/guavabarrow-core/src/guavabarrow_core/pooled_rate_limiter.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/pooled_rate_limiter.py
@@ -40,6 +40,14 @@
 PREFETCHED_TTL_S = 1.0
 """Lifetime of prefetched tokens, in s; unused ones must not cause a burst later."""
 
+INITIAL_POOL_S = 0.5
+"""A pool that a new process opens starts with the tokens of this time, in s. Callers
+that lost their VMs return together, but the burst may have been spent within the same
+window."""
+
+FRESH_PROCESS_S = 2.0
+"""Age up to which a process is new: it has seen no operations to speak of, in s."""
+
 POOL_EXCESS_FRACTION = 0.3
 """Fraction of a rate's tolerated excess that a pool uses; the rest covers VMs that
 admit from their own share while the host still includes that share in the pool."""
@@ -111,6 +119,7 @@
     _local_until: float = float("-inf")
     _host_since: float | None = None
     _updated_at: float = float("-inf")
+    _first_updated_at: float | None = None
 
     def __post_init__(self) -> None:
         self.local = RateLimiter(self.vm, self.tolerance, relay_delay_s=RELAY_DELAY_S)
@@ -168,6 +177,8 @@
             Local time, in s.
         """
         self._updated_at = now
+        if self._first_updated_at is None:
+            self._first_updated_at = now
         if designated_host != self.vm:
             self._host_since = None
             self.pool = None
@@ -193,16 +204,29 @@
             self._open_pool(now)
         self._switch_host(self.vm if self.pool is not None else "", now)
 
-    def admit(self, team: str, now: float) -> AdmissionDecision:
-        """Decide whether an operation may start."""
+    def admit(
+        self, team: str, now: float, *, is_retry: bool = False
+    ) -> AdmissionDecision:
+        """Decide whether an operation may start.
+
+        Parameters
+        ----------
+        team : str
+            The team.
+        now : float
+            Local time, in s.
+        is_retry : bool
+            Whether the operation is waiting and was counted as demand before.
+        """
         if team not in self._rate_by_team:
             return AdmissionDecision.ADMITTED
         self._leave_pool_if_suspended(now)
         if not self.host or now < self._local_until:
-            return _decision(self.local.admit(team, now))
-        self.local.count(team, now)
+            return _decision(self.local.admit(team, now, is_retry=is_retry))
+        if not is_retry:
+            self.local.count(team, now)
         if self.pool is not None:
-            return _decision(self.pool.admit(team, now))
+            return _decision(self.pool.admit(team, now, is_retry=is_retry))
         prefetched = self._prefetched_by_team.get(team)
         if (
             prefetched is None
@@ -217,13 +241,15 @@
         """Return the number of tokens to request from the host."""
         return 1 + int(self.local.local_demand_per_s(team, now) * PREFETCH_S)
 
-    def grant(self, team: str, count: int, now: float) -> int:
+    def grant(
+        self, team: str, count: int, now: float, *, is_retry: bool = False
+    ) -> int:
         """Grant tokens to another VM of the failure domain, 0 if there are none."""
         self._leave_pool_if_suspended(now)
         if self.pool is None:
             return 0
         granted = 0
-        while granted < count and self.pool.admit(team, now):
+        while granted < count and self.pool.admit(team, now, is_retry=is_retry):
             granted += 1
         return granted
 
@@ -255,6 +281,10 @@
         """Return the time until the next token of a team, in s."""
         return (self.pool or self.local).wait_s(team)
 
+    def interval_s(self, team: str) -> float:
+        """Return the time between two tokens of a team, in s."""
+        return (self.pool or self.local).interval_s(team)
+
     def describe(self, team: str) -> str:
         """Return the inputs of the team's last admission decision."""
         return f"{(self.pool or self.local).describe(team)} pool={self.host or 'none'}"
@@ -295,6 +325,9 @@
         pool.empty(now + POOL_OPENING_DELAY_S)
         self._set_pool_members(pool)
         self.local.seed_demand(pool, now)
+        first_at = self._first_updated_at
+        if first_at is not None and now - first_at < FRESH_PROCESS_S:
+            pool.add_initial_tokens(INITIAL_POOL_S, now)
         self.pool = pool
 
     def _set_pool_members(self, pool: RateLimiter) -> None:
--- a/packages/guavabarrow-core/src/guavabarrow_core/rate_limiter.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/rate_limiter.py
@@ -61,6 +61,9 @@
 """A new process starts with at most the tokens of this time, in s: the previous process
 may have spent the burst within the same window, but spent nothing while it was down."""
 
+MIN_REFILL_PER_S = 0.1
+"""Refill assumed at least when a wait is estimated."""
+
 ROUNDING_LIMIT = 2.0
 """Smaller bursts are rounded to whole operations, up at some VMs and down at others, so
 that their sum is right on average; a fraction of a token admits no operation."""
@@ -380,13 +383,24 @@
         shares = self._reserved_share_by_team.get(team, {})
         return shares.get(source, self._vms_by_source[source] / self.members)
 
-    def admit(self, team: str, now: float) -> bool:
-        """Take a token for one operation, False if this VM has none for the team."""
+    def admit(self, team: str, now: float, *, is_retry: bool = False) -> bool:
+        """Take a token for one operation, False if this VM has none for the team.
+
+        Parameters
+        ----------
+        team : str
+            The team.
+        now : float
+            Local time, in s.
+        is_retry : bool
+            Whether the operation is waiting and was counted as demand before.
+        """
         rate = self._rate_by_team.get(team)
         if rate is None:
             return True
         bucket = self._bucket(team, rate, now)
-        bucket.record_demand(now)
+        if not is_retry:
+            bucket.record_demand(now)
         share = self.share(team)
         elapsed_s = max(0.0, now - bucket.refilled_at)
         bucket.tokens = min(
@@ -434,6 +448,20 @@
         self.empty(now)
         return tokens_by_team
 
+    def add_initial_tokens(self, span_s: float, now: float) -> None:
+        """Add the tokens that the represented VMs' equal share creates in a time.
+
+        Parameters
+        ----------
+        span_s : float
+            The time, in s.
+        now : float
+            Local time, in s.
+        """
+        share = self.represented_vms / self.members
+        for team, rate in self._rate_by_team.items():
+            self._bucket(team, rate, now).tokens += rate.per_s * span_s * share
+
     def add_tokens(self, tokens_by_team: dict[str, float], now: float) -> None:
         """Add tokens that another limiter gave up."""
         for team, tokens in tokens_by_team.items():
@@ -507,4 +535,12 @@
         if rate is None or bucket is None or rate.per_s <= 0:
             return 1.0
         missing = max(0.0, 1.0 - bucket.tokens)
-        return missing / max(0.1, self._refill_per_s(rate, self.share(team)))
+        return missing * self.interval_s(team)
+
+    def interval_s(self, team: str) -> float:
+        """Return the time between two tokens of a team, in s."""
+        rate = self._rate_by_team.get(team)
+        if rate is None or rate.per_s <= 0:
+            return 1.0
+        refill_per_s = self._refill_per_s(rate, self.share(team))
+        return 1.0 / max(MIN_REFILL_PER_S, refill_per_s)
--- a/packages/guavabarrow-core/tests/test_pooled_rate_limiter.py
+++ b/packages/guavabarrow-core/tests/test_pooled_rate_limiter.py
@@ -212,6 +212,18 @@
     assert fleet.max_per_window() <= fleet.allowed
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_the_rate_holds_when_vms_are_isolated_while_the_whole_burst_is_left(seed):
+    """The team sends half of its rate before, so that all buckets are full."""
+    rng = np.random.default_rng(seed)
+    fleet = Fleet(9, RateLimit(126.0, 126.0))
+    fleet.simulate(rng, 0.0, 8.0, 126.0 / 2, weights(rng, 9))
+    names = sorted(fleet.vms)
+    fleet.partition({names[0], names[1], names[4]}, isolated=True)
+    fleet.simulate(rng, 8.0, 8.0, 126.0 * 6, weights(rng, 9))
+    assert fleet.max_per_window() <= fleet.allowed
+
+
 @pytest.mark.parametrize("seed", range(2))
 @pytest.mark.parametrize("size", SIZES)
 @pytest.mark.parametrize("per_s", RATES)
@@ -271,6 +283,35 @@
     assert len(fleet.admitted_at) >= 0.9 * fleet.requested
 
 
+@pytest.mark.parametrize("size", SIZES)
+def test_callers_that_return_together_find_tokens_after_a_restart(size):
+    """After a power loss of 1.4 s the operations of that time arrive at once.
+
+    The pools open before the first of them, with no tokens from their VMs.
+    """
+    rng = np.random.default_rng(0)
+    per_s = 126.0
+    fleet = Fleet(size, RateLimit(per_s, per_s))
+    fleet.exchange_heartbeats(0.0)
+    fleet.exchange_heartbeats(HEARTBEAT_S)
+    now = HEARTBEAT_S + 0.2
+    tokens = sum(
+        fleet.admit(name, now)
+        for name in rng.choice(list(fleet.vms), round(0.4 * per_s))
+    )
+    assert tokens >= 0.9 * round(0.4 * per_s)
+
+
+def test_a_pool_of_an_old_process_starts_without_tokens():
+    """Its VMs have the tokens that they did not spend."""
+    host = PooledRateLimiter("vm-0", "north", TOLERANCE)
+    host.configure({TEAM: RateLimit(10.0, 10.0)})
+    host.update_pool("vm-1", {}, 0.0)
+    host.update_pool("vm-0", {}, 60.0)
+    assert host.pool is not None
+    assert host.grant(TEAM, 1, 60.0) == 0
+
+
 def test_local_tokens_are_moved_into_the_pool():
     host, peer = (PooledRateLimiter(f"vm-{n}", "north", TOLERANCE) for n in (0, 1))
     for rates in (host, peer):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -230,11 +230,24 @@
 
 
 class TokenRequest(msgspec.Struct, frozen=True, tag="tokens"):
-    """Requests tokens of a team from the host of a pool."""
+    """Requests tokens of a team from the host of a pool.
+
+    Parameters
+    ----------
+    number : int
+        Identifies the request in the answer.
+    team : str
+        The team.
+    count : int
+        Tokens requested.
+    is_retry : bool
+        Whether the request repeats one that was granted nothing.
+    """
 
     number: int
     team: str
     count: int
+    is_retry: bool = False
 
 
 class TokenGrant(msgspec.Struct, frozen=True, tag="grant"):
@@ -248,6 +261,8 @@
         Tokens granted.
     wait_s : float
         Time until the next token if none was granted, in s.
+    interval_s : float
+        Time between further tokens if none was granted, in s.
     detail : str
         Reason if none was granted.
     """
@@ -255,9 +270,16 @@
     number: int
     count: int
     wait_s: float = 0.0
+    interval_s: float = 0.0
     detail: str = ""
 
 
+class Departure(msgspec.Struct, frozen=True, tag="leave"):
+    """Last message of a VM that stops as planned: it runs no operation any more."""
+
+    incarnation: str
+
+
 FleetMessage = (
     Hello
     | PeerHeartbeat
@@ -269,6 +291,7 @@
     | ProbeAnswer
     | TokenRequest
     | TokenGrant
+    | Departure
 )
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -19,6 +19,7 @@
 from guavabarrow_core.peer_topology import hubs_by_domain, peers_to_link
 from guavabarrow_core.store_clock import StoreClock
 from guavabarrow_daemon.fleet.fleet_messages import (
+    Departure,
     FleetMessage,
     FleetRows,
     PeerHeartbeat,
@@ -112,9 +113,9 @@
     store_failed_at, stale_at : float
         Local times of the last failed store request, and of the last heartbeat at which
         the shared table was older than ``OUTAGE_TABLE_AGE_S``.
-    on_rows, on_orders, on_heartbeat : list of callable
+    on_rows, on_orders, on_heartbeat, on_departure : list of callable
         Called with changed rows; after orders were applied; with each heartbeat that
-        was received.
+        was received; with the name of a VM that has stopped as planned.
     heartbeat_fillers : list of callable
         Called with the draft of each heartbeat to add fields.
     hubs_by_domain : dict of str to tuple of str
@@ -149,6 +150,7 @@
         self.on_rows: list[Callable[[list[VersionedRow]], None]] = []
         self.on_orders: list[Callable[[], None]] = []
         self.on_heartbeat: list[Callable[[str, PeerHeartbeat], None]] = []
+        self.on_departure: list[Callable[[str], None]] = []
         self.heartbeat_fillers: list[Callable[[HeartbeatDraft], None]] = []
         self.store_failed_at = float("-inf")
         self.stale_at = float("-inf")
@@ -162,6 +164,7 @@
         self.heard_store_s = 0.0
         self._links = kernel.find(PeerLinks)
         self._heartbeat_by_vm: dict[str, tuple[float, PeerHeartbeat]] = {}
+        self._departure_by_vm: dict[str, tuple[str, float]] = {}
         self._observer = settings.vm
         self._observer_chosen_at = float("-inf")
         self._heartbeat_sent_at = 0.0
@@ -180,8 +183,9 @@
         self._heartbeat_loop.start(HEARTBEAT_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
-        """Stop watching and sending."""
+        """Stop watching and sending; targets and callers are disconnected already."""
         self.is_stopping = True
+        self._links.broadcast(Departure(self.state.incarnation))
         if self._heartbeat_loop is not None and self._heartbeat_loop.running:
             self._heartbeat_loop.stop()
 
@@ -564,3 +568,14 @@
                     callback(vm, message)
             case FleetRows(rows):
                 self._merge_rows(rows)
+            case Departure(incarnation):
+                log_decision("vm_departed", vm=vm, incarnation=incarnation)
+                self._departure_by_vm[vm] = (incarnation, now_s())
+                for notify in self.on_departure:
+                    notify(vm)
+
+    def departed_at(self, vm: str) -> float | None:
+        """Return when the registered process of a VM stopped, None if it runs."""
+        member = self.state.member_by_vm().get(vm)
+        incarnation, at = self._departure_by_vm.get(vm, ("", 0.0))
+        return at if member is not None and member.incarnation == incarnation else None
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
@@ -96,6 +96,12 @@
         self.is_open = False
         self._links.on_lost(self)
 
+    def close(self) -> None:
+        """Close the connection after all messages were sent."""
+        if self.is_open:
+            self.is_open = False
+            self.transport.loseConnection()
+
     def abort(self) -> None:
         """Close the connection immediately."""
         if self.is_open:
@@ -156,7 +162,7 @@
         if self._listening_port is not None:
             self._listening_port.stopListening()
         for link in list(self._link_by_vm.values()):
-            link.abort()
+            link.close()
 
     def set_peers(self, members: dict[str, MemberRow]) -> None:
         """Replace the set of peers, and connect to those that lack a connection."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -9,6 +9,7 @@
 
 from guavabarrow_core.fleet_state import (
     DUTY_KEY,
+    SPONSORSHIP_S,
     LeadPhase,
     LeadRow,
     VersionedRow,
@@ -292,6 +293,7 @@
             vm
             for vm, member in state.member_by_vm().items()
             if stopped.get(vm) != member.incarnation
+            and not self._has_departed(vm, now)
             and not state.lease_has_expired(member, promotion.marked_at, now)
         ]
         is_reachable = self._primary_watch.is_reachable(promotion.old_primary_id, now)
@@ -317,6 +319,11 @@
         )
         self._start_actions(promotion, promotion.on_stopped(now))
 
+    def _has_departed(self, vm: str, now: float) -> bool:
+        """Return whether a VM has stopped, and its sponsorships have expired."""
+        departed_at = self._fleet.departed_at(vm)
+        return departed_at is not None and now >= departed_at + SPONSORSHIP_S
+
     async def _compare_replicas(
         self, promotion: Promotion, target_ids: tuple[str, ...]
     ) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, NoReturn
 
 from twisted.internet.defer import Deferred, TimeoutError
+from twisted.internet.task import deferLater
 
+from guavabarrow_core.admission_queue import MAX_WAIT_FRACTION, AdmissionQueue
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.pooled_rate_limiter import (
     AdmissionDecision,
@@ -48,6 +51,26 @@
 most of its deadline left."""
 
 
+@dataclass(frozen=True, slots=True)
+class AdmissionAnswer:
+    """Outcome of one attempt to admit an operation.
+
+    Parameters
+    ----------
+    is_admitted : bool
+        Whether the operation may start.
+    next_token_s, interval_s : float
+        Time until the team's next token, and between further ones, in s.
+    detail : str
+        Inputs of a refusal.
+    """
+
+    is_admitted: bool
+    next_token_s: float = 0.0
+    interval_s: float = 0.0
+    detail: str = ""
+
+
 class DemandDelta:
     """Computes the changes of a demand since the last heartbeat."""
 
@@ -99,6 +122,7 @@
             settings.rate_window_s, settings.rate_over, settings.rate_slack
         )
         self.rates = PooledRateLimiter(settings.vm, settings.domain, tolerance)
+        self._queue = AdmissionQueue()
         self._domain_by_vm: dict[str, str] = {}
         self._new_peers: set[str] = set()
         self._delta_inside = DemandDelta()
@@ -113,71 +137,126 @@
         self._fleet.on_orders.append(self._on_orders)
         self._fleet.on_heartbeat.append(self._on_heartbeat)
         self._fleet.on_rows.append(self._on_rows)
+        self._fleet.on_departure.append(self._on_departure)
         self._fleet.heartbeat_fillers.append(self._fill_heartbeat)
 
-    async def admit(self, team: str) -> None:
-        """Admit an operation.
+    async def admit(self, team: str, *, objective_s: float = 0.0) -> None:
+        """Admit an operation, which may wait for its token for a moment.
+
+        Parameters
+        ----------
+        team : str
+            The team.
+        objective_s : float
+            Latency objective of the operation, in s.
 
         Raises
         ------
         SessionError
             If the team exceeds its rate.
         """
-        now = now_s()
-        decision = self.rates.admit(team, now)
-        if decision is AdmissionDecision.ASK_HOST:
-            decision = await self._request_token(team, now)
-        self._metrics.admissions.labels(decision.value).inc()
-        if decision is AdmissionDecision.REFUSED:
-            self._refuse(self.rates.describe(team), self.rates.wait_s(team))
+        until = now_s() + MAX_WAIT_FRACTION * objective_s
+        answer = await self._try_admit(team, is_retry=False)
+        while not answer.is_admitted:
+            wait_s = self._queue.enter(
+                team,
+                next_token_s=answer.next_token_s,
+                interval_s=answer.interval_s,
+                limit_s=until - now_s(),
+            )
+            if wait_s is None:
+                self._refuse(team, answer)
+            try:
+                await deferLater(self._reactor, wait_s, lambda: None)
+            finally:
+                self._queue.leave(team)
+            answer = await self._try_admit(team, is_retry=True)
+        self._count(AdmissionDecision.ADMITTED)
 
     def return_token(self, team: str) -> None:
-        """Return the token of an operation that reached no target."""
+        """Put back the token of an operation that reached no target."""
         self.rates.return_token(team, now_s())
 
-    async def _request_token(self, team: str, now: float) -> AdmissionDecision:
+    async def _try_admit(self, team: str, *, is_retry: bool) -> AdmissionAnswer:
+        now = now_s()
+        decision = self.rates.admit(team, now, is_retry=is_retry)
+        if decision is AdmissionDecision.ASK_HOST:
+            self._count(decision)
+            return await self._request_token(team, now, is_retry=is_retry)
+        return self._local_answer(team, decision)
+
+    def _local_answer(self, team: str, decision: AdmissionDecision) -> AdmissionAnswer:
+        if decision is AdmissionDecision.ADMITTED:
+            return AdmissionAnswer(is_admitted=True)
+        return AdmissionAnswer(
+            is_admitted=False,
+            next_token_s=self.rates.wait_s(team),
+            interval_s=self.rates.interval_s(team),
+            detail=self.rates.describe(team),
+        )
+
+    async def _request_token(
+        self, team: str, now: float, *, is_retry: bool
+    ) -> AdmissionAnswer:
         host = self.rates.host
         if not self._links.is_linked(host):
-            self.rates.on_host_unreachable(now)
-            return self.rates.admit(team, now)
+            return self._admit_without_host(team)
         self._last_number += 1
         number = self._last_number
         reply: Deferred[TokenGrant] = Deferred()
         reply.addTimeout(GRANT_TIMEOUT_S, self._reactor)
         self._pending_requests[number] = reply
         count = self.rates.tokens_to_request(team, now)
-        self._links.send(host, TokenRequest(number, team, count))
+        self._links.send(host, TokenRequest(number, team, count, is_retry))
         try:
             grant = await reply
         except TimeoutError:
-            now = now_s()
             log_decision("pool_unanswered", host=host, team=team)
-            self.rates.on_host_unreachable(now)
-            return self.rates.admit(team, now)
+            return self._admit_without_host(team)
         finally:
             self._pending_requests.pop(number, None)
         if self.rates.accept_grant(team, grant.count, now_s()):
-            return AdmissionDecision.ADMITTED
-        self._metrics.admissions.labels(AdmissionDecision.REFUSED.value).inc()
-        self._refuse(grant.detail, grant.wait_s)
-        return AdmissionDecision.REFUSED
+            return AdmissionAnswer(is_admitted=True)
+        return AdmissionAnswer(
+            is_admitted=False,
+            next_token_s=grant.wait_s,
+            interval_s=grant.interval_s,
+            detail=grant.detail,
+        )
+
+    def _admit_without_host(self, team: str) -> AdmissionAnswer:
+        now = now_s()
+        self.rates.on_host_unreachable(now)
+        # The demand was counted when the host was chosen.
+        return self._local_answer(team, self.rates.admit(team, now, is_retry=True))
 
-    @staticmethod
-    def _refuse(detail: str, wait_s: float) -> None:
+    def _count(self, decision: AdmissionDecision) -> None:
+        self._metrics.admissions.labels(decision.value).inc()
+
+    def _refuse(self, team: str, answer: AdmissionAnswer) -> NoReturn:
+        self._count(AdmissionDecision.REFUSED)
         raise SessionError(
             FailureCode.OVERLOADED,
-            f"above its rate: {detail}",
-            retry_after_s=wait_s,
+            f"above its rate: {answer.detail} waiting={self._queue.waiting(team)}",
+            retry_after_s=self._queue.expected_wait_s(
+                team,
+                next_token_s=answer.next_token_s,
+                interval_s=answer.interval_s,
+            ),
         )
 
     def _on_message(self, vm: str, message: FleetMessage) -> None:
         match message:
-            case TokenRequest(number, team, count):
-                granted = self.rates.grant(team, count, now_s())
+            case TokenRequest(number, team, count, is_retry):
+                granted = self.rates.grant(team, count, now_s(), is_retry=is_retry)
                 grant = TokenGrant(number, granted)
                 if not granted:
                     grant = TokenGrant(
-                        number, 0, self.rates.wait_s(team), self.rates.describe(team)
+                        number,
+                        0,
+                        self.rates.wait_s(team),
+                        self.rates.interval_s(team),
+                        self.rates.describe(team),
                     )
                 self._links.send(vm, grant)
             case TokenGrant(number):
@@ -199,6 +278,11 @@
     def _on_rows(self, rows: list[VersionedRow]) -> None:
         self._set_members()
 
+    def _on_departure(self, vm: str) -> None:
+        # The share of a VM that runs nothing any more is for the others at once.
+        self._set_members()
+        self._update_pool(now_s())
+
     def _set_members(self) -> None:
         now = now_s()
         state = self._fleet.state
@@ -210,6 +294,8 @@
             unavailable_s = now - state.out_since.get(vm, now)
             if member.is_out and unavailable_s >= EXCLUDE_AFTER_S:
                 continue
+            if self._fleet.departed_at(vm) is not None:
+                continue
             if member.domain == self._domain:
                 domain_vms.add(vm)
             else:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -171,13 +171,17 @@
     async def _begin(self, statement: Statement, received_at: float) -> list[Answer]:
         if self.state is TransactionState.OPEN:
             raise SessionError(FailureCode.MALFORMED, "a transaction is already open")
-        await self._admission.rates.admit(self._team)
-        self._has_token = True
+        await self._admit()
         self._is_read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
         self._began_at = received_at
         self.state = TransactionState.OPEN
         return self._completed()
 
+    async def _admit(self) -> None:
+        objective_s = self._route.objective_s if self._route is not None else 0.0
+        await self._admission.rates.admit(self._team, objective_s=objective_s)
+        self._has_token = True
+
     def _roll_back(self) -> list[Answer]:
         if self.state is not TransactionState.OPEN:
             raise SessionError(FailureCode.MALFORMED, "no transaction is open")
@@ -235,8 +239,7 @@
                     self.abandon(reply.failure.code.value)
                 raise SessionError(reply.failure.code, reply.failure.detail)
             return self._answer_completed(request, reply, received_at)
-        await self._admission.rates.admit(self._team)
-        self._has_token = True
+        await self._admit()
         if writes:
             reply = await self._router.run_write(context, statement, shape)
             self._record_position(True, reply)
--- a/packages/guavabarrow-daemon/tests/sim_fleet.py
+++ b/packages/guavabarrow-daemon/tests/sim_fleet.py
@@ -181,6 +181,12 @@
         vm = self.vm_by_name.pop(name, None)
         self.network.kill(vm.host if vm is not None else name)
 
+    def stop(self, name: str) -> None:
+        """Stop a VM as planned: it announces its departure before it ends."""
+        Deferred.fromCoroutine(self.vm_by_name[name].kernel.stop())
+        self.run(2 * STEP_S)
+        self.kill(name)
+
     def run(self, duration_s: float) -> None:
         """Advance time, and check all VMs at each step, including suspended ones."""
         until = self.network.now + duration_s
