--- a/packages/guavabarrow-cli/src/guavabarrow_cli/commands/beliefs_command.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/commands/beliefs_command.py
@@ -13,7 +13,7 @@
     print_line,
     print_table,
 )
-from guavabarrow_daemon.operations.beliefs import LocalView
+from guavabarrow_daemon.operations.beliefs import LocalView, MemberView
 
 TIMEOUT_S = 5.0
 """VMs respond within milliseconds, busy ones within a second."""
@@ -44,18 +44,18 @@
         f"pool: {view.pool_host or 'none'}; "
         f"evacuated: {' '.join(view.evacuated) or 'none'}"
     )
+    if view.sponsor:
+        print_line(f"uses primaries by the sponsorship of {view.sponsor}")
     print_line("")
+    hubs = {vm for names in view.hubs.values() for vm in names}
     print_table(
-        ("vm", "domain", "state"),
+        ("vm", "domain", "hub", "state"),
         [
             (
                 member.vm,
                 member.domain,
-                "out"
-                if member.is_out
-                else "in contact"
-                if member.is_in_contact
-                else "",
+                "yes" if member.vm in hubs else "",
+                describe_contact(member),
             )
             for member in view.members
         ],
@@ -84,6 +84,15 @@
     )
 
 
+def describe_contact(member: MemberView) -> str:
+    """Return whether and how a VM is reached."""
+    if member.is_out:
+        return "out"
+    if member.is_in_contact:
+        return "in contact"
+    return "reached by its hubs" if member.is_reported else ""
+
+
 def fetch_local_view(address: str) -> LocalView:
     """Request the local view of a VM; exits with an error if that fails."""
     host, _, port = address.rpartition(":")
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/beliefs.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/beliefs.py
@@ -7,24 +7,30 @@
 import msgspec
 
 from guavabarrow_core.fleet_state import LeadRow
+from guavabarrow_daemon.fleet.contact_service import ContactService
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.duty_service import DutyService
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.fleet.rate_service import RateService
+from guavabarrow_daemon.operations.clock import now_s
 
 if TYPE_CHECKING:
     from guavabarrow_daemon.kernel import Kernel
 
 
 class MemberView(msgspec.Struct, frozen=True):
-    """A registered VM, as this VM sees it."""
+    """A registered VM, as this VM sees it.
+
+    ``is_reported`` is true if a hub of its failure domain reports contact with it.
+    """
 
     vm: str
     domain: str
     is_out: bool
     is_in_contact: bool
+    is_reported: bool = False
 
 
 class PrimaryView(msgspec.Struct, frozen=True):
@@ -66,6 +72,10 @@
         VM that holds the promotion duty, empty if there is none.
     holds_duty : bool
         Whether this VM may order promotions now.
+    sponsor : str
+        VM by whose sponsorship this one uses primaries, empty if it does not.
+    hubs : dict of str to list of str
+        Hubs of each failure domain.
     pool_host : str
         VM whose token pool limits the teams' rates, empty if this VM uses its own
         share.
@@ -84,6 +94,8 @@
     members: list[MemberView]
     primaries: list[PrimaryView]
     targets: list[TargetView]
+    sponsor: str = ""
+    hubs: dict[str, list[str]] = {}
 
 
 def read_local_view(kernel: Kernel) -> LocalView:
@@ -92,6 +104,7 @@
     primary_service = kernel.find(PrimaryService)
     directory = kernel.find(DirectoryService)
     live_peers = kernel.find(PeerLinks).live_peers()
+    contact = kernel.find(ContactService)
     suspected = directory.suspected()
     state = fleet.state
     duty = state.duty()
@@ -106,9 +119,17 @@
         evacuated=sorted(fleet.evacuated),
         duty_holder=duty.holder if duty is not None else "",
         holds_duty=kernel.find(DutyService).may_order_promotions(),
+        sponsor=state.sponsor if state.is_sponsored(now_s()) else "",
+        hubs={domain: list(vms) for domain, vms in fleet.hubs_by_domain.items()},
         pool_host=kernel.find(RateService).rates.host,
         members=[
-            MemberView(vm, member.domain, member.is_out, vm in live_peers)
+            MemberView(
+                vm,
+                member.domain,
+                member.is_out,
+                vm in live_peers,
+                contact.is_reached(vm, frozenset()),
+            )
             for vm, member in sorted(state.member_by_vm().items())
         ],
         primaries=[
