Wake VMs that are no hubs less often

Cause: an idle VM woke about 28 times a second for its own timers, which at 195 VMs is most of what is left of the idle work. Checks of the duty go from 10 to 2 a second at VMs that are neither hubs nor the holder, the waits for a relayed table last until it could be too old, and sponsorships are requested by a timer that runs only without registration.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -31,6 +31,10 @@
     from collections.abc import Callable
 
 CHECK_INTERVAL_S = 0.1
+INNER_CHECK_INTERVAL_S = 0.5
+"""The same for VMs that are neither hubs nor the holder. They take over only if no hub
+does, and most VMs of a large fleet are such."""
+
 UNAVAILABLE_AFTER_S = 2.0
 """Time without contact after which a VM is marked unavailable, so that a later
 replacement of a primary need not wait for its lease to expire."""
@@ -109,6 +113,16 @@
         if self._check_loop is not None and self._check_loop.running:
             self._check_loop.stop()
 
+    def _set_check_interval(self) -> None:
+        is_candidate = self._fleet.is_hub() or self._fleet.is_duty_holder()
+        has_started = self._registered_at is not None
+        if self._check_loop is not None:
+            self._check_loop.interval = (
+                INNER_CHECK_INTERVAL_S
+                if has_started and not is_candidate
+                else CHECK_INTERVAL_S
+            )
+
     def may_order_promotions(self) -> bool:
         """Return whether this VM may order promotions now."""
         now = now_s()
@@ -124,6 +138,7 @@
         await self._fleet.write(DUTY_KEY, DutyRow("", ""))
 
     def _check(self) -> None:
+        self._set_check_interval()
         state = self._fleet.state
         if state.version == 0 or not state.is_registered():
             return
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -257,7 +257,7 @@
                     await deferLater(self._reactor, RETRY_DELAY_S, lambda: None)
                 continue
             if self._uses_relay():
-                await deferLater(self._reactor, RELAY_CHECK_INTERVAL_S, lambda: None)
+                await self._pause_for_relay()
                 continue
             sent_at = now_s()
             try:
@@ -379,7 +379,7 @@
     async def _watch_orders(self) -> None:
         while not self.is_stopping:
             if self._orders_version > 0 and self._uses_relay():
-                await deferLater(self._reactor, RELAY_CHECK_INTERVAL_S, lambda: None)
+                await self._pause_for_relay()
                 continue
             try:
                 orders, reading = await self._read_orders()
@@ -486,6 +486,15 @@
         heartbeat_age_s, heartbeat = self.last_heartbeat(observer)
         return heartbeat_age_s + heartbeat.store_age_s < MAX_RELAYED_AGE_S
 
+    async def _pause_for_relay(self) -> None:
+        """Wait until the relayed copy of the table could have become too old."""
+        if self.is_hub() or self.is_duty_holder():
+            pause_s = RELAY_CHECK_INTERVAL_S
+        else:
+            remaining_s = MAX_RELAYED_AGE_S - self.table_age_s()
+            pause_s = max(RELAY_CHECK_INTERVAL_S, min(1.0, remaining_s))
+        await deferLater(self._reactor, pause_s, lambda: None)
+
     def _record_store_access(self, is_reachable: bool, detail: str = "") -> None:
         if not is_reachable:
             self.store_failed_at = now_s()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -87,7 +87,7 @@
         self._request_loop.start(REQUEST_INTERVAL_S, now=False)
         self._sponsor_loop = LoopingCall(self._request_sponsorship)
         self._sponsor_loop.clock = self._reactor
-        self._sponsor_loop.start(SPONSOR_INTERVAL_S, now=False)
+        self._follow_registration()
 
     async def stop(self) -> None:
         """Stop sending requests."""
@@ -95,11 +95,22 @@
             if loop is not None and loop.running:
                 loop.stop()
 
+    def _follow_registration(self) -> None:
+        """Run the loop that requests sponsorships only while it is needed."""
+        if self._sponsor_loop is None or self._fleet.is_stopping:
+            return
+        is_registered = self._fleet.state.is_registered()
+        if is_registered and self._sponsor_loop.running:
+            self._sponsor_loop.stop()
+        elif not is_registered and not self._sponsor_loop.running:
+            self._sponsor_loop.start(SPONSOR_INTERVAL_S, now=False)
+
     def _drop_pending(self, vm: str) -> None:
         # A request on the previous connection is not answered on the new one.
         self._pending_by_vm.pop(vm, None)
 
     def _request_from_observer(self) -> None:
+        self._follow_registration()
         observer = self._fleet.observer()
         if observer != self._fleet.state.vm:
             self._request(observer)
