Let operations wait for tokens only while shares follow a change

Change: a queue that has not drained for 1 s is closed until the team was within its rate for 1 s, and nothing waits unless VMs or the pool's host changed in the last 4 s.

--- a/packages/guavabarrow-core/tests/test_admission_queue.py
+++ b/packages/guavabarrow-core/tests/test_admission_queue.py
@@ -11,7 +11,11 @@
 
 import pytest
 
-from guavabarrow_core.admission_queue import AdmissionQueue
+from guavabarrow_core.admission_queue import (
+    MAX_BUSY_S,
+    RECOVERY_S,
+    AdmissionQueue,
+)
 from guavabarrow_core.rate_limiter import RateLimit, RateLimiter
 
 TEAM = "team"
@@ -38,6 +42,7 @@
             continue
         wait_s = queue.enter(
             TEAM,
+            now,
             next_token_s=limiter.wait_s(TEAM),
             interval_s=limiter.interval_s(TEAM),
             limit_s=asked_at + limit_s - now,
@@ -79,6 +84,32 @@
     queue = AdmissionQueue()
     token = {"next_token_s": 0.1, "interval_s": 0.2}
     for _ in range(2):
-        queue.enter(TEAM, limit_s=1.0, **token)
+        queue.enter(TEAM, 0.0, limit_s=1.0, **token)
     assert queue.expected_wait_s(TEAM, **token) == pytest.approx(0.5)
     assert queue.expected_wait_s("other", **token) == pytest.approx(0.1)
+
+
+def test_a_team_that_stays_above_its_rate_does_not_wait():
+    """A queue that never drains made all operations of such a team late."""
+    queue = AdmissionQueue()
+    token = {"next_token_s": 0.01, "interval_s": 0.02, "limit_s": 0.2}
+    assert queue.enter(TEAM, 0.0, **token) is not None
+    now = 0.0
+    while now <= MAX_BUSY_S:
+        assert queue.enter(TEAM, now, **token) is not None
+        queue.leave(TEAM)
+        now += 0.05
+    while now <= 3 * MAX_BUSY_S:
+        assert queue.enter(TEAM, now, **token) is None
+        now += 0.05
+    queue.leave(TEAM)
+    assert queue.enter(TEAM, now, **token) is None
+    assert queue.enter(TEAM, now + RECOVERY_S, **token) is not None
+
+
+def test_another_team_is_not_affected_by_a_closed_queue():
+    queue = AdmissionQueue()
+    token = {"next_token_s": 0.01, "interval_s": 0.02, "limit_s": 0.2}
+    queue.enter(TEAM, 0.0, **token)
+    assert queue.enter(TEAM, MAX_BUSY_S + 0.1, **token) is None
+    assert queue.enter("other", MAX_BUSY_S + 0.1, **token) is not None
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -266,6 +266,8 @@
         Time until the next token if none was granted, in s.
     interval_s : float
         Time between further tokens if none was granted, in s.
+    may_wait : bool
+        Whether the operation may wait for its token.
     detail : str
         Reason if none was granted.
     """
@@ -274,6 +276,7 @@
     count: int
     wait_s: float = 0.0
     interval_s: float = 0.0
+    may_wait: bool = False
     detail: str = ""
 
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
@@ -8,7 +8,11 @@
 from twisted.internet.defer import Deferred, TimeoutError
 from twisted.internet.task import deferLater
 
-from guavabarrow_core.admission_queue import MAX_WAIT_FRACTION, AdmissionQueue
+from guavabarrow_core.admission_queue import (
+    MAX_WAIT_FRACTION,
+    TRANSITION_S,
+    AdmissionQueue,
+)
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.pooled_rate_limiter import (
     AdmissionDecision,
@@ -61,6 +65,8 @@
         Whether the operation may start.
     next_token_s, interval_s : float
         Time until the team's next token, and between further ones, in s.
+    may_wait : bool
+        Whether the shares of the rate changed recently, so that waiting helps.
     detail : str
         Inputs of a refusal.
     """
@@ -68,6 +74,7 @@
     is_admitted: bool
     next_token_s: float = 0.0
     interval_s: float = 0.0
+    may_wait: bool = False
     detail: str = ""
 
 
@@ -123,6 +130,8 @@
         )
         self.rates = PooledRateLimiter(settings.vm, settings.domain, tolerance)
         self._queue = AdmissionQueue()
+        self._changed_at = now_s()
+        self._serving_vms: frozenset[str] = frozenset()
         self._domain_by_vm: dict[str, str] = {}
         self._new_peers: set[str] = set()
         self._delta_inside = DemandDelta()
@@ -158,11 +167,13 @@
         until = now_s() + MAX_WAIT_FRACTION * objective_s
         answer = await self._try_admit(team, is_retry=False)
         while not answer.is_admitted:
+            now = now_s()
             wait_s = self._queue.enter(
                 team,
+                now,
                 next_token_s=answer.next_token_s,
                 interval_s=answer.interval_s,
-                limit_s=until - now_s(),
+                limit_s=until - now if answer.may_wait else 0.0,
             )
             if wait_s is None:
                 self._refuse(team, answer)
@@ -192,9 +203,13 @@
             is_admitted=False,
             next_token_s=self.rates.wait_s(team),
             interval_s=self.rates.interval_s(team),
+            may_wait=self._is_in_transition(),
             detail=self.rates.describe(team),
         )
 
+    def _is_in_transition(self) -> bool:
+        return now_s() < self._changed_at + TRANSITION_S
+
     async def _request_token(
         self, team: str, now: float, *, is_retry: bool
     ) -> AdmissionAnswer:
@@ -221,6 +236,7 @@
             is_admitted=False,
             next_token_s=grant.wait_s,
             interval_s=grant.interval_s,
+            may_wait=grant.may_wait,
             detail=grant.detail,
         )
 
@@ -256,6 +272,7 @@
                         0,
                         self.rates.wait_s(team),
                         self.rates.interval_s(team),
+                        self._is_in_transition(),
                         self.rates.describe(team),
                     )
                 self._links.send(vm, grant)
@@ -301,6 +318,9 @@
             else:
                 count = vms_by_domain.get(member.domain, 0)
                 vms_by_domain[member.domain] = count + 1
+        if domain_vms != self._serving_vms:
+            self._serving_vms = frozenset(domain_vms)
+            self._changed_at = now
         self.rates.set_members(frozenset(domain_vms), vms_by_domain)
 
     def _on_heartbeat(self, vm: str, heartbeat: PeerHeartbeat) -> None:
@@ -333,6 +353,7 @@
                 pool_state_by_vm[vm] = PeerPoolState(host, heartbeat.has_pool)
         self.rates.update_pool(self._fleet.observer(), pool_state_by_vm, now)
         if self.rates.host != previous:
+            self._changed_at = now
             log_decision("pool_host_changed", host=self.rates.host, former=previous)
         if self.rates.pool is not None and not had_pool:
             self._delta_between_hubs.reset()
