Spare the store while many VMs start, and tell new VMs the pool host at once

And callers of VMs that had just started were refused as above their rate, until a heartbeat named the pool's host (about 0.35 s after the start).

Change: a VM that is no hub pauses 0.3 s between two watches; a newly linked VM gets a heartbeat without changes at once; an operation may wait for the pool to open. The build compiles the packages, which VMs see read-only.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -15,3 +15,5 @@
         cp -R "$package" "$deps/"
     done
 done
+# VMs see the tree read-only, so a process could not keep what it compiles at its start.
+python3 -m compileall -q "$deps"/guavabarrow_*
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/contact_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/contact_service.py
@@ -121,7 +121,9 @@
     def _fill_heartbeat(self, draft: HeartbeatDraft) -> None:
         live_peers = self._links.live_peers()
         draft.common["holder_hops"] = self._holder_hops(live_peers)
-        if not (self._fleet.is_hub() or self._fleet.is_duty_holder()):
+        if draft.is_greeting or not (
+            self._fleet.is_hub() or self._fleet.is_duty_holder()
+        ):
             return
         self._find_lost_domains(live_peers)
         draft.between_hubs["lost_domains"] = sorted(self._lost_domains)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -61,6 +61,10 @@
 OUTAGE_TABLE_AGE_S = 2.0
 """Age of the shared table above which an outage of the store is assumed."""
 
+WATCH_PAUSE_S = 0.3
+"""Pause between two watches of a VM that is no hub and has no relay yet. While many VMs
+start, each registration would otherwise answer the watches of all of them."""
+
 RETRY_DELAY_S = 0.25
 """Delay before a retry after a failed store request."""
 
@@ -92,9 +96,12 @@
         Sent to VMs of this failure domain.
     between_hubs : dict
         Sent to the hubs of the other failure domains.
+    is_greeting : bool
+        Whether it goes to one newly connected VM and so contains no changes.
     """
 
     common: dict[str, Any]
+    is_greeting: bool = False
     inside: dict[str, Any] = field(default_factory=dict)
     between_hubs: dict[str, Any] = field(default_factory=dict)
 
@@ -279,6 +286,8 @@
                 continue
             self._record_store_access(True)
             self._apply_reading(reading, sent_at, is_full=False)
+            if reading.rows and not (self.is_hub() or self.is_duty_holder()):
+                await deferLater(self._reactor, WATCH_PAUSE_S, lambda: None)
 
     async def _register(self) -> None:
         own = MemberRow(
@@ -373,7 +382,14 @@
         self._links.set_peers({vm: members[vm] for vm in peers})
 
     def _on_peer_up(self, vm: str) -> None:
+        """Send a heartbeat to a newly connected VM, which may have no other source."""
         self._observer_chosen_at = float("-inf")
+        draft = self._draft_heartbeat(is_greeting=True)
+        member = self.state.member_by_vm().get(vm)
+        inside = (
+            draft.inside if member is not None and member.domain == self.domain else {}
+        )
+        self._links.send(vm, PeerHeartbeat(**draft.common, **inside))
 
     def is_hub(self) -> bool:
         """Return whether this VM is a hub of its failure domain."""
@@ -545,15 +561,7 @@
         self.kernel.find(SessionMetrics).store_age.set(age_s)
         if age_s > OUTAGE_TABLE_AGE_S:
             self.stale_at = now_s()
-        draft = HeartbeatDraft(
-            {
-                "store_age_s": age_s,
-                "rows_version": self.state.rows_version,
-                "orders_version": self.orders_row_version,
-            }
-        )
-        for fill in self.heartbeat_fillers:
-            fill(draft)
+        draft = self._draft_heartbeat(is_greeting=False)
         self._links.connect_missing_peers()
         members = self.state.member_by_vm()
         all_hubs = {vm for hubs in self.hubs_by_domain.values() for vm in hubs}
@@ -572,6 +580,17 @@
         )
         self._links.send_to(others, PeerHeartbeat(**draft.common))
 
+    def _draft_heartbeat(self, *, is_greeting: bool) -> HeartbeatDraft:
+        common = {
+            "store_age_s": self.table_age_s(),
+            "rows_version": self.state.rows_version,
+            "orders_version": self.orders_row_version,
+        }
+        draft = HeartbeatDraft(common, is_greeting)
+        for fill in self.heartbeat_fillers:
+            fill(draft)
+        return draft
+
     def merge_relayed_rows(self, rows: list[SharedRow]) -> None:
         """Store rows of another VM that are newer than the cached ones."""
         self._merge_rows(rows)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_service.py
@@ -301,7 +301,8 @@
             self._repeat(min_age_s=0.0)
 
     def _repeat_with_heartbeat(self, draft: HeartbeatDraft) -> None:
-        self._repeat(min_age_s=REPEAT_INTERVAL_S)
+        if not draft.is_greeting:
+            self._repeat(min_age_s=REPEAT_INTERVAL_S)
 
     def _repeat(self, *, min_age_s: float) -> None:
         now = now_s()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
@@ -50,6 +50,9 @@
 UNKNOWN_HOST = "?"
 """Pool host of a connected VM until its first heartbeat arrives."""
 
+POOL_POLL_INTERVAL_S = 0.03
+"""Interval at which an operation that waits for a pool to open tries again."""
+
 GRANT_TIMEOUT_S = 0.15
 """Many times the network latency plus the host's processing time; a statement still has
 most of its deadline left."""
@@ -199,10 +202,15 @@
     def _local_answer(self, team: str, decision: AdmissionDecision) -> AdmissionAnswer:
         if decision is AdmissionDecision.ADMITTED:
             return AdmissionAnswer(is_admitted=True)
+        next_token_s = self.rates.wait_s(team)
+        interval_s = self.rates.interval_s(team)
+        if not self.rates.host:
+            # The pool that is about to open has more than this VM's own share.
+            next_token_s, interval_s = min(next_token_s, POOL_POLL_INTERVAL_S), 0.0
         return AdmissionAnswer(
             is_admitted=False,
-            next_token_s=self.rates.wait_s(team),
-            interval_s=self.rates.interval_s(team),
+            next_token_s=next_token_s,
+            interval_s=interval_s,
             may_wait=self._is_in_transition(),
             detail=self.rates.describe(team),
         )
@@ -362,6 +370,10 @@
 
     def _fill_heartbeat(self, draft: HeartbeatDraft) -> None:
         now = now_s()
+        if draft.is_greeting:
+            draft.common["has_pool"] = self.rates.pool is not None
+            draft.inside["pool_host"] = self.rates.host
+            return
         self._set_members()
         self._update_pool(now)
         draft.inside.update(
--- a/packages/guavabarrow-daemon/tests/test_primary_service.py
+++ b/packages/guavabarrow-daemon/tests/test_primary_service.py
@@ -25,7 +25,7 @@
 from guavabarrow_daemon.fleet import primary_service
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.fleet_messages import PrimaryUseStopped
-from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.fleet_service import FleetService, HeartbeatDraft
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.fleet.primary_service import (
     DRAIN_CHECK_INTERVAL_S,
@@ -174,12 +174,12 @@
     for _ in range(3):
         harness.clock.advance(REPEAT_INTERVAL_S)
         for fill in harness.fleet.heartbeat_fillers:
-            fill(None)
+            fill(HeartbeatDraft({}))
     assert harness.confirmations() == [HOLDER] * 4
     harness.fleet.put(
         primary_row_key(SERVICE), LeadRow(SERVICE, LeadPhase.SETTLED, "t2", 2)
     )
     harness.clock.advance(REPEAT_INTERVAL_S)
     for fill in harness.fleet.heartbeat_fillers:
-        fill(None)
+        fill(HeartbeatDraft({}))
     assert harness.confirmations() == [HOLDER] * 4
