Let VMs that are cut off from all hubs link to their domain

VMs on the side without hubs had no link to any VM; each admitted a share of its own, and most refusals said 'above its rate'. In the former mesh the VMs of that side had formed a pool.

Change: a VM that has reached no hub for 1.5 s links to its whole domain; a connection that another VM opened is left to it.

Ruled out: more hubs; any number can be on the other side.

test_vms_that_are_cut_off_from_all_hubs_share_a_pool fails without.

--- a/packages/guavabarrow-core/src/guavabarrow_core/peer_topology.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/peer_topology.py
@@ -6,6 +6,9 @@
 their domain and to the hubs of the other domains. Any other VM is linked to the hubs of
 its domain and to the holder of the promotion duty, which is linked to all VMs. Small
 fleets, whose domains have no more VMs than hubs, form a full mesh.
+
+A network partition may run through a domain and separate VMs from all of its hubs.
+Such a VM links to its whole domain, so that those on its side share a pool of tokens.
 """
 
 from __future__ import annotations
@@ -51,8 +54,12 @@
     members: Mapping[str, MemberRow],
     holder: str,
     hubs: Mapping[str, tuple[str, ...]],
+    *,
+    has_lost_hubs: bool = False,
 ) -> frozenset[str]:
-    """Return the VMs that a VM maintains a link to; the relation is symmetric.
+    """Return the VMs that a VM maintains a link to.
+
+    The relation is symmetric among VMs that have not lost their hubs.
 
     Parameters
     ----------
@@ -64,6 +71,8 @@
         VM that orders promotions, empty if there is none.
     hubs : mapping of str to tuple of str
         Hubs of each failure domain.
+    has_lost_hubs : bool
+        Whether the VM reaches no hub of its failure domain.
 
     Examples
     --------
@@ -76,6 +85,7 @@
     peers = {*own_hubs, holder}
     if vm in own_hubs:
         peers.update(name for names in hubs.values() for name in names)
+    if vm in own_hubs or has_lost_hubs:
         peers.update(
             name for name, member in members.items() if member.domain == domain
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -65,6 +65,9 @@
 """Pause between two watches of a VM that is no hub and has no relay yet. While many VMs
 start, each registration would otherwise answer the watches of all of them."""
 
+HUBS_LOST_AFTER_S = 1.5
+"""Time without contact to any hub after which a VM links to its whole domain."""
+
 RETRY_DELAY_S = 0.25
 """Delay before a retry after a failed store request."""
 
@@ -175,6 +178,8 @@
         self._links = kernel.find(PeerLinks)
         self._heartbeat_by_vm: dict[str, tuple[float, PeerHeartbeat]] = {}
         self._departure_by_vm: dict[str, tuple[str, float]] = {}
+        self._hub_seen_at = now_s()
+        self._has_lost_hubs = False
         self._observer = settings.vm
         self._observer_chosen_at = float("-inf")
         self._heartbeat_sent_at = 0.0
@@ -378,9 +383,22 @@
             members,
             duty.holder if duty is not None else "",
             self.hubs_by_domain,
+            has_lost_hubs=self._has_lost_hubs,
         )
         self._links.set_peers({vm: members[vm] for vm in peers})
 
+    def _follow_hubs(self) -> None:
+        """Link to the whole domain while none of its hubs is reached."""
+        now = now_s()
+        hubs = self.hubs_by_domain.get(self.domain, ())
+        if self.is_hub() or self._links.live_peers().intersection(hubs):
+            self._hub_seen_at = now
+        has_lost_hubs = now - self._hub_seen_at > HUBS_LOST_AFTER_S
+        if has_lost_hubs != self._has_lost_hubs:
+            self._has_lost_hubs = has_lost_hubs
+            log_decision("hubs_lost" if has_lost_hubs else "hubs_regained", hubs=hubs)
+            self._update_peers()
+
     def _on_peer_up(self, vm: str) -> None:
         """Send a heartbeat to a newly connected VM, which may have no other source."""
         self._observer_chosen_at = float("-inf")
@@ -561,6 +579,7 @@
         self.kernel.find(SessionMetrics).store_age.set(age_s)
         if age_s > OUTAGE_TABLE_AGE_S:
             self.stale_at = now_s()
+        self._follow_hubs()
         draft = self._draft_heartbeat(is_greeting=False)
         self._links.connect_missing_peers()
         members = self.state.member_by_vm()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
@@ -61,6 +61,7 @@
     def __init__(self, links: PeerLinks, expected_vm: str = "") -> None:
         self._links = links
         self.vm = expected_vm
+        self.is_opener = bool(expected_vm)
         self.incarnation = ""
         self.is_open = False
 
@@ -165,10 +166,14 @@
             link.close()
 
     def set_peers(self, members: dict[str, MemberRow]) -> None:
-        """Replace the set of peers, and connect to those that lack a connection."""
+        """Replace the set of peers, and connect to those that lack a connection.
+
+        A connection that another VM opened is left to that VM, which may need it even
+        if this one does not.
+        """
         self._peers = members
-        for vm in list(self._link_by_vm):
-            if vm not in members:
+        for vm, link in list(self._link_by_vm.items()):
+            if vm not in members and link.is_opener:
                 self._link_by_vm.pop(vm).abort()
         self.connect_missing_peers()
 
--- a/packages/guavabarrow-daemon/tests/test_bridge_cut.py
+++ b/packages/guavabarrow-daemon/tests/test_bridge_cut.py
@@ -1,6 +1,7 @@
-"""Cuts between two failure domains that a third one still reaches, in virtual time.
+"""Partial cuts, in virtual time.
 
-The users' story: during such a cut a booking was acknowledged and later gone, because
+First, two failure domains lose each other while a third one still reaches both. The
+users' story: during such a cut a booking was acknowledged and later gone, because
 a replica was promoted although the primary was alive and in use.
 """
 
@@ -9,6 +10,8 @@
 import pytest
 from sim_fleet import SimFleet
 
+from guavabarrow_daemon.fleet.rate_service import RateService
+
 CUT_S = 8.0
 """Longer than all detection times and than the lease on primaries."""
 
@@ -82,3 +85,30 @@
     fleet.kill(holder)
     fleet.run_until(lambda: bool(fleet.holder()), 6.0)
     fleet.assert_invariants()
+
+
+def test_vms_that_are_cut_off_from_all_hubs_share_a_pool(monkeypatch):
+    """A cut may run through domains; callers of VMs without a pool were refused.
+
+    A VM's own share of a team's rate is a two-hundredth in a large fleet.
+    """
+    fleet = started_fleet(monkeypatch, 8)
+    inside = {
+        f"{domain}-{number}" for domain in ("east", "west") for number in range(5)
+    }
+    fleet.network.is_blocked = lambda source, destination: (
+        (source in inside) != (destination in inside)
+    )
+    fleet.run(6.0)
+    outside = [f"{domain}-{number}" for domain in ("east", "west") for number in (5, 6)]
+    hosts = {
+        name: fleet.vm_by_name[name].kernel.find(RateService).rates.host
+        for name in outside
+    }
+    assert hosts == {name: f"{name.partition('-')[0]}-5" for name in outside}
+    fleet.heal()
+    fleet.run(6.0)
+    rates = fleet.vm_by_name["east-6"].kernel.find(RateService).rates
+    assert rates.host == "east-0"
+    assert fleet.is_serving()
+    fleet.assert_invariants()
