Extend the mutations to the new decisions; build a test's table as the code does

A mutation of the lease survived: the test replaced the rows of a FleetState after it was built, so the new index of members was empty and the check of 'may still use it' was vacuous. The table is given to the constructor now, and the test asserts that the other VM may use the primary just before its lease ends.

--- a/packages/guavabarrow-core/tests/test_fleet_state.py
+++ b/packages/guavabarrow-core/tests/test_fleet_state.py
@@ -91,9 +91,10 @@
     """A VM that read the table just before the mark uses its lease to the end."""
     marked_at = 20.0
     last_read_at = 19.999
-    other = FleetState("b", "1")
-    other.row_by_key = dict(state.row_by_key)
-    other.version, other.as_of = 4, last_read_at
+    other = FleetState(
+        "b", "1", row_by_key=dict(state.row_by_key), version=4, as_of=last_read_at
+    )
+    assert other.may_use_primary(SERVICE, 25.998)
     for now in (20.0, 23.0, 25.998, 26.0, 27.0):
         if state.lease_has_expired(member_row("b"), marked_at, now):
             assert not other.may_use_primary(SERVICE, now)
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -148,8 +148,8 @@
     ),
     Mutation(
         "peer_topology",
-        "if vm in linked_to_all:",
-        "if not vm:",
+        "return frozenset(members) - {vm}",
+        "return frozenset()",
         "test_peer_topology",
     ),
     Mutation(
@@ -170,4 +170,64 @@
         "pass",
         "test_send_window",
     ),
+    Mutation(
+        "fleet_state",
+        "self.sponsored_until = requested_at + SPONSORSHIP_S",
+        "self.sponsored_until = requested_at + 9 * SPONSORSHIP_S",
+        "test_fleet_state",
+    ),
+    Mutation(
+        "fleet_state",
+        "return now < self.sponsored_until and self._is_available(",
+        "return now < self.sponsored_until or self._is_available(",
+        "test_fleet_state",
+    ),
+    Mutation(
+        "fleet_contact",
+        "oldest = max(since, now - REPORT_VALID_S)",
+        "oldest = now - REPORT_VALID_S",
+        "test_fleet_contact",
+    ),
+    Mutation(
+        "fleet_contact",
+        "return bool(reports) and all(vm in report.unreachable for report in reports)",
+        "return any(vm in report.unreachable for report in reports)",
+        "test_fleet_contact",
+    ),
+    Mutation(
+        "primary_evidence",
+        "return now - self.relayed_at < PROBE_VALID_S",
+        "return False",
+        "test_primary_evidence",
+    ),
+    Mutation(
+        "primary_evidence",
+        "return votes > UNPROBED_VOTE_SHARE * others",
+        "return False",
+        "test_primary_evidence",
+    ),
+    Mutation(
+        "admission_queue",
+        "if wait_s > limit_s:",
+        "if next_token_s > limit_s:",
+        "test_admission_queue",
+    ),
+    Mutation(
+        "admission_queue",
+        "if is_closed or now - busy_since > MAX_BUSY_S:",
+        "if is_closed:",
+        "test_admission_queue",
+    ),
+    Mutation(
+        "pooled_rate_limiter",
+        "if first_at is not None and now - first_at < FRESH_PROCESS_S:",
+        "if first_at is not None:",
+        "test_pooled_rate_limiter",
+    ),
+    Mutation(
+        "peer_topology",
+        "orders.append(member.relay_order)",
+        "orders.append((0.0, member.vm))",
+        "test_peer_topology",
+    ),
 )
