Run the statements of scarce services on one VM per failure domain

Cause: with 58 VMs a target's connections are fewer than one per VM, so each operation opened a connection and many were refused at the limit. Change: HostPlan selects a host per service and domain; HostedRunner hands statements over to it, ServiceHostService runs them; heartbeats tell that a VM leaves. Services with two connections per VM or more run as before.

--- a/packages/guavabarrow-core/src/guavabarrow_core/session_messages.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/session_messages.py
@@ -82,7 +82,8 @@
     name : str
         Name of the item, session value or prepared statement, depending on the kind.
     argument : str
-        Session value, shape of a prepared statement, or the rest of the text.
+        Session value, shape of a prepared statement, or the rest of the text; always
+        the end of the text.
     writes : bool
         Whether the statement, prepared or not, writes.
     """
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -7,6 +7,12 @@
 import msgspec
 
 from guavabarrow_core.target_directory import TargetEntry
+from guavabarrow_daemon.fleet.hosted_messages import (
+    HostedReply,
+    HostedStatement,
+    HostPing,
+    HostPong,
+)
 
 MIN_COMPRESS_BYTES = 2000
 """Compressing smaller values rarely saves more than the headers add."""
@@ -75,6 +81,8 @@
         Failure domains none of whose hubs the sender is in contact with.
     domain_reports : dict of str to RelayedDomainReport
         Reports on failure domains that receivers have lost.
+    is_leaving : bool
+        Whether the sender stops as planned and serves only what it has.
     """
 
     demand_by_team: dict[str, float] = {}
@@ -92,6 +100,7 @@
     unreachable: list[str] | None = None
     lost_domains: list[str] = []
     domain_reports: dict[str, RelayedDomainReport] = {}
+    is_leaving: bool = False
 
 
 class SharedRow(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -298,6 +307,10 @@
     | TokenRequest
     | TokenGrant
     | Departure
+    | HostedStatement
+    | HostedReply
+    | HostPing
+    | HostPong
 )
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -17,8 +17,10 @@
     member_key,
 )
 from guavabarrow_core.peer_topology import hubs_by_domain, peers_to_link
+from guavabarrow_core.service_host import HostPlan
 from guavabarrow_core.store_clock import StoreClock
 from guavabarrow_daemon.fleet.fleet_messages import (
+    UNKNOWN_AGE_S,
     Departure,
     FleetMessage,
     FleetRows,
@@ -132,6 +134,10 @@
         Called with the draft of each heartbeat to add fields.
     hubs_by_domain : dict of str to tuple of str
         Hubs of each failure domain.
+    host_plan : HostPlan
+        Which services are hosted, and where.
+    is_leaving : bool
+        Whether this VM stops as planned.
     domain : str
         This VM's failure domain.
     sponsoring_until : float
@@ -168,6 +174,8 @@
         self.store_failed_at = float("-inf")
         self.stale_at = float("-inf")
         self.is_stopping = False
+        self.is_leaving = False
+        self.host_plan = HostPlan(settings.vm, settings.domain, self._can_host)
         self._settings = settings
         self._table = table
         self._orders = orders
@@ -204,6 +212,24 @@
         if self._heartbeat_loop is not None and self._heartbeat_loop.running:
             self._heartbeat_loop.stop()
 
+    def announce_leaving(self) -> None:
+        """Tell the other VMs that this one stops as planned and takes no new work."""
+        self.is_leaving = True
+        self.send_heartbeat_now()
+
+    def _can_host(self, vm: str) -> bool:
+        """Return whether a VM is linked, has what it needs to host, and stays."""
+        if vm == self._settings.vm:
+            return not self.is_leaving
+        if not self._links.is_linked(vm):
+            return False
+        _, heartbeat = self.last_heartbeat(vm)
+        return (
+            not heartbeat.is_leaving
+            and heartbeat.orders_version > 0
+            and heartbeat.directory_age_s < UNKNOWN_AGE_S
+        )
+
     async def write(self, key: str, row: Any) -> TableWriteResult | None:
         """Write a row if the store still has the cached version, and broadcast it.
 
@@ -377,6 +403,7 @@
         members = self.state.member_by_vm()
         duty = self.state.duty()
         self.hubs_by_domain = hubs_by_domain(members)
+        self.host_plan.set_members(members, self.hubs_by_domain)
         peers = peers_to_link(
             self._settings.vm,
             self.domain,
@@ -451,6 +478,7 @@
         active = self.configuration
         if configuration and (active is None or configuration.version > active.version):
             self.configuration = configuration
+            self.host_plan.configure(configuration.limits_by_service)
             log_decision(
                 "configuration_in_force",
                 version=configuration.version,
@@ -604,6 +632,7 @@
             "store_age_s": self.table_age_s(),
             "rows_version": self.state.rows_version,
             "orders_version": self.orders_row_version,
+            "is_leaving": self.is_leaving,
         }
         draft = HeartbeatDraft(common, is_greeting)
         for fill in self.heartbeat_fillers:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
@@ -119,6 +119,12 @@
         Called with the name of the VM and the message.
     on_peer_up : list of callable
         Called with the name of a VM that has connected.
+    on_peer_lost : list of callable
+        Called with the name of a VM whose link has ended or was replaced; messages that
+        were under way on it may be lost.
+    link_users : list of callable
+        Called with the name of a VM, return whether the link to it is in use; such a
+        link is kept although the VM is no peer.
     """
 
     name = "peer_links"
@@ -135,12 +141,15 @@
         self.hello = Hello(settings.vm, incarnation)
         self.on_peer_message: list[Callable[[str, FleetMessage], None]] = []
         self.on_peer_up: list[Callable[[str], None]] = []
+        self.on_peer_lost: list[Callable[[str], None]] = []
+        self.link_users: list[Callable[[str], bool]] = []
         self._settings = settings
         self._reactor = reactor
         self._link_by_vm: dict[str, PeerLink] = {}
         self._last_message_at: dict[str, float] = {}
         self._incarnation_by_vm: dict[str, str] = {}
         self._peers: dict[str, MemberRow] = {}
+        self._unneeded: set[str] = set()
         self._connecting: set[str] = set()
         self._unlinked_since: dict[str, float] = {}
         self._metrics = kernel.find(SessionMetrics)
@@ -172,9 +181,11 @@
         if this one does not.
         """
         self._peers = members
-        for vm, link in list(self._link_by_vm.items()):
-            if vm not in members and link.is_opener:
-                self._link_by_vm.pop(vm).abort()
+        self._unneeded = {
+            vm
+            for vm, link in self._link_by_vm.items()
+            if vm not in members and link.is_opener
+        }
         self.connect_missing_peers()
 
     def is_peer(self, vm: str) -> bool:
@@ -184,6 +195,7 @@
     def connect_missing_peers(self) -> None:
         """Connect to peers that lack a connection, and close those without traffic."""
         now = now_s()
+        self._close_unneeded()
         for vm, link in list(self._link_by_vm.items()):
             if now - self._last_message_at.get(vm, now) > LIVENESS_TIMEOUT_S:
                 link.abort()
@@ -197,6 +209,16 @@
             if self.hello.vm < vm or now - since > REVERSE_CONNECT_DELAY_S:
                 self._start_connecting(member)
 
+    def _close_unneeded(self) -> None:
+        """Close links to VMs that are no peers any more, once they are not in use."""
+        for vm in list(self._unneeded):
+            if any(is_user(vm) for is_user in self.link_users):
+                continue
+            self._unneeded.discard(vm)
+            link = self._link_by_vm.pop(vm, None)
+            if link is not None:
+                link.abort()
+
     def live_peers(self) -> frozenset[str]:
         """Return the peers from which a message arrived recently."""
         cutoff = now_s() - LIVENESS_TIMEOUT_S
@@ -245,6 +267,7 @@
         self._incarnation_by_vm[link.vm] = link.incarnation
         if previous is not None and previous is not link:
             previous.abort()
+            self._notify_lost(link.vm)
         log_decision("peer_linked", peer=link.vm, incarnation=link.incarnation)
         for callback in self.on_peer_up:
             callback(link.vm)
@@ -275,6 +298,11 @@
         if self._link_by_vm.get(link.vm) is link:
             del self._link_by_vm[link.vm]
             log_decision("peer_lost", peer=link.vm)
+            self._notify_lost(link.vm)
+
+    def _notify_lost(self, vm: str) -> None:
+        for callback in self.on_peer_lost:
+            callback(vm)
 
     def _start_connecting(self, member: MemberRow) -> None:
         if member.vm in self._connecting:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -19,7 +19,10 @@
     TransactionState,
 )
 from guavabarrow_core.session_values import PreparedShape, SessionValues
-from guavabarrow_daemon.front.statement_context import OpenTransaction, StatementContext
+from guavabarrow_daemon.front.statement_context import (
+    StatementContext,
+    TransactionHandle,
+)
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 
@@ -28,7 +31,7 @@
     from guavabarrow_core.session_configuration import Route
     from guavabarrow_core.session_messages import Reply
     from guavabarrow_daemon.front.session_admission import SessionAdmission
-    from guavabarrow_daemon.front.session_router import SessionRouter
+    from guavabarrow_daemon.front.statement_runner import StatementRunner
     from guavabarrow_daemon.session_codec import Answer
 
 NO_EFFECT_CODES = frozenset(
@@ -65,8 +68,8 @@
     ----------
     admission : SessionAdmission
         Resolves route and team, and applies the rate limits.
-    router : SessionRouter
-        Runs statements on targets.
+    runner : StatementRunner
+        Runs statements.
     database, key : str
         Database that the caller opened, and the key that it presented.
     """
@@ -74,12 +77,12 @@
     def __init__(
         self,
         admission: SessionAdmission,
-        router: SessionRouter,
+        runner: StatementRunner[TransactionHandle],
         database: str,
         key: str,
     ) -> None:
         self._admission = admission
-        self._router = router
+        self._runner = runner
         self.database = database
         self.key = key
         self.state = TransactionState.IDLE
@@ -91,7 +94,7 @@
         self._began_at = 0.0
         self._is_read_only = False
         self._has_token = False
-        self._transaction: OpenTransaction | None = None
+        self._transaction: TransactionHandle | None = None
         self._failed_attempts: list[str] = []
         self._context: StatementContext | None = None
 
@@ -122,9 +125,10 @@
                 "transaction_abandoned",
                 database=self.database,
                 team=self._team,
+                location=transaction.location,
                 reason=reason,
             )
-            Deferred.fromCoroutine(self._router.roll_back(transaction))
+            Deferred.fromCoroutine(self._runner.roll_back(transaction))
 
     def expire(self, limit_s: float) -> None:
         """Roll back a transaction that has been idle for longer than ``limit_s``."""
@@ -188,7 +192,7 @@
         transaction, self._transaction = self._transaction, None
         self.state = TransactionState.IDLE
         if transaction is not None:
-            Deferred.fromCoroutine(self._router.roll_back(transaction))
+            Deferred.fromCoroutine(self._runner.roll_back(transaction))
         elif self._has_token:
             self._admission.rates.return_token(self._team)
         self._has_token = False
@@ -201,7 +205,7 @@
             raise SessionError(FailureCode.MALFORMED, "no transaction is open")
         context = self._create_context(request, received_at)
         transaction = await self._ensure_transaction(context)
-        reply = await self._router.run_in_transaction(
+        reply = await self._runner.run_in_transaction(
             context, transaction, request.statement, None
         )
         self._transaction = None
@@ -230,7 +234,7 @@
         context = self._create_context(request, received_at)
         if self.state is TransactionState.OPEN:
             transaction = await self._ensure_transaction(context)
-            reply = await self._router.run_in_transaction(
+            reply = await self._runner.run_in_transaction(
                 context, transaction, statement, shape
             )
             if reply.failure is not None:
@@ -241,16 +245,16 @@
             return self._answer_completed(request, reply, received_at)
         await self._admit()
         if writes:
-            reply = await self._router.run_write(context, statement, shape)
+            reply = await self._runner.run_write(context, statement, shape)
             self._record_position(True, reply)
         else:
-            reply = await self._router.run_read(context, statement, shape)
+            reply = await self._runner.run_read(context, statement, shape)
         self._has_token = False
         return self._answer_completed(request, reply, received_at)
 
-    async def _ensure_transaction(self, context: StatementContext) -> OpenTransaction:
+    async def _ensure_transaction(self, context: StatementContext) -> TransactionHandle:
         if self._transaction is None:
-            self._transaction = await self._router.begin(
+            self._transaction = await self._runner.begin(
                 context, is_read_only=self._is_read_only
             )
         return self._transaction
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
@@ -23,9 +23,9 @@
 )
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.front.caller_session import CallerSession, SessionTerminated
+from guavabarrow_daemon.front.hosted_runner import HostedRunner
 from guavabarrow_daemon.front.interface import CallerFront
 from guavabarrow_daemon.front.session_admission import SessionAdmission
-from guavabarrow_daemon.front.session_router import SessionRouter
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
@@ -56,6 +56,9 @@
 """Time in which the load balancer stops sending callers: two failed readiness checks,
 one a second, and a margin."""
 
+DRAIN_MARGIN_S = 1.2
+"""Time at the end of the grace period that is left for stopping the services."""
+
 CLOSE_SPREAD_S = 1.6
 """Time over which closing idle sessions is spread, so that callers don't reconnect all
 at once."""
@@ -166,7 +169,7 @@
             self._write_and_close([StatementFailed(error.code, error.detail)])
             return
         self.session = CallerSession(
-            admission, self._front.router, message.database, message.principal
+            admission, self._front.runner, message.database, message.principal
         )
         self._write([SessionReady(TransactionState.IDLE)])
 
@@ -224,7 +227,7 @@
         super().__init__(kernel)
         self.create_codec = create_codec
         self.admission = kernel.find(SessionAdmission)
-        self.router = kernel.find(SessionRouter)
+        self.runner = kernel.find(HostedRunner)
         self.is_draining = False
         self._fleet = kernel.find(FleetService)
         self._settings = settings
@@ -286,7 +289,7 @@
         New sessions are accepted until the load balancer has stopped sending them. Then
         idle sessions are closed one by one over ``CLOSE_SPREAD_S``, others as soon as
         an answer leaves them idle. Open transactions have about half of the grace
-        period, up to 1.2 s before its end.
+        period, up to ``DRAIN_MARGIN_S`` before its end.
         """
         self.is_draining = True
         began_at = now_s()
@@ -299,7 +302,7 @@
         for connection in idle:
             connection.close_idle()
             await deferLater(self._reactor, step_s, lambda: None)
-        close_until = began_at + self._settings.grace_s - 1.2
+        close_until = began_at + self._settings.grace_s - DRAIN_MARGIN_S
         while self._connections and now_s() < max(spread_until, close_until):
             for connection in list(self._connections):
                 connection.close_idle()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -23,15 +23,16 @@
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.front.statement_context import OpenTransaction, StatementContext
+from guavabarrow_daemon.front.statement_runner import StatementRunner
 from guavabarrow_daemon.front.target_chooser import RETRY_AFTER_S, TargetChooser
 from guavabarrow_daemon.front.target_exchange import TargetExchange
-from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.targets.interface import TargetConnectionBroken
 
 if TYPE_CHECKING:
     from guavabarrow_core.log_position import LogPosition
     from guavabarrow_core.session_values import PreparedShape
+    from guavabarrow_daemon.kernel import Kernel
     from guavabarrow_daemon.targets.session_pool import SessionPool
 
 OVERLOADED_PAUSE_S = 0.02
@@ -42,8 +43,8 @@
 """Three targets, and further attempts at replicas that lagged behind."""
 
 
-class SessionRouter(Service):
-    """Runs statements on targets."""
+class SessionRouter(StatementRunner[OpenTransaction]):
+    """Runs statements on targets, over this VM's own connections."""
 
     name = "session_router"
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -66,8 +67,30 @@
         return self.deadline - now_s()
 
 
+class TransactionHandle(ABC):
+    """An open transaction, wherever it is open.
+
+    Attributes
+    ----------
+    at_primary : bool
+        Whether its target was chosen as the primary.
+    has_ended : bool
+        Whether it can't go on.
+    """
+
+    __slots__ = ()
+
+    at_primary: bool
+    has_ended: bool
+
+    @property
+    @abstractmethod
+    def location(self) -> str:
+        """Target or VM that the transaction is open on, for the log."""
+
+
 @dataclass(slots=True)
-class OpenTransaction:
+class OpenTransaction(TransactionHandle):
     """A transaction that is open on a target and holds a connection.
 
     Parameters
@@ -90,3 +113,38 @@
     service: str
     at_primary: bool
     has_ended: bool = False
+
+    @property
+    def location(self) -> str:
+        """Target that the transaction is open on."""
+        return self.pool.entry.target_id
+
+
+@dataclass(slots=True, eq=False)
+class HostedTransaction(TransactionHandle):
+    """A transaction that is open on the service's host on behalf of this VM.
+
+    Parameters
+    ----------
+    host : str
+        VM that holds its connection.
+    number : int
+        Number of the statement that opened it, which identifies it at the host.
+    service : str
+        Service of the target.
+    at_primary : bool
+        Whether the target was chosen as the primary.
+    has_ended : bool
+        Whether it can't go on: it has ended, or the link to the host has.
+    """
+
+    host: str
+    number: int
+    service: str
+    at_primary: bool
+    has_ended: bool = False
+
+    @property
+    def location(self) -> str:
+        """VM that the transaction is open on."""
+        return self.host
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -53,6 +53,14 @@
         self.fleet_bytes = self._counter(
             "fleet_bytes", "Bytes of messages between VMs", "direction", "kind"
         )
+        self.hosted_statements = self._counter(
+            "hosted_statements",
+            "Statements sent to a service's host, or served as one",
+            "role",
+        )
+        self.host_bypasses = self._counter(
+            "host_bypasses", "Service hosts that were bypassed, by reason", "reason"
+        )
         self.sessions = Gauge(
             "guavabarrow_sessions", "Connected callers", registry=self.registry
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -21,13 +21,18 @@
 from guavabarrow_daemon.fleet.primary_watch import PrimaryWatch
 from guavabarrow_daemon.fleet.promotion_service import PromotionService
 from guavabarrow_daemon.fleet.rate_service import RateService
+from guavabarrow_daemon.fleet.service_hosts import ServiceHosts
 from guavabarrow_daemon.fleet.table_relay import TableRelay
+from guavabarrow_daemon.front.host_exchange import HostExchange
+from guavabarrow_daemon.front.hosted_runner import HostedRunner
+from guavabarrow_daemon.front.service_host_service import ServiceHostService
 from guavabarrow_daemon.front.session_admission import SessionAdmission
-from guavabarrow_daemon.front.session_front import SessionFront
+from guavabarrow_daemon.front.session_front import DRAIN_MARGIN_S, SessionFront
 from guavabarrow_daemon.front.session_router import SessionRouter
 from guavabarrow_daemon.front.target_chooser import TargetChooser
 from guavabarrow_daemon.front.target_exchange import TargetExchange
 from guavabarrow_daemon.kernel import Kernel
+from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.readiness_site import ReadinessSite
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
@@ -139,6 +144,10 @@
         kernel.register(TargetChooser(kernel, reactor))
         kernel.register(TargetExchange(kernel, reactor))
         kernel.register(SessionRouter(kernel, reactor))
+        kernel.register(ServiceHosts(kernel, reactor))
+        kernel.register(HostExchange(kernel, reactor))
+        kernel.register(HostedRunner(kernel))
+        kernel.register(ServiceHostService(kernel, reactor))
         kernel.register(RateService(kernel, settings, reactor))
         kernel.register(SessionAdmission(kernel))
         kernel.register(
@@ -156,13 +165,17 @@
         )
 
     async def drain(self) -> None:
-        """Hand over the promotion duty, then drain callers' sessions.
+        """Hand over the promotion duty, then drain callers' sessions and hosted work.
 
-        The duty stays while a promotion runs.
+        The duty stays while a promotion runs. Other VMs are told at once, and select
+        other service hosts.
         """
+        until = now_s() + self.settings.grace_s - DRAIN_MARGIN_S
+        self.kernel.find(FleetService).announce_leaving()
         if not self.kernel.find(PromotionService).is_busy:
             await self.kernel.find(DutyService).hand_over()
         await self.kernel.find(SessionFront).drain()
+        await self.kernel.find(ServiceHostService).drain(until)
 
     async def stop(self) -> None:
         """Stop all services."""
