--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/service_hosts.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/service_hosts.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from guavabarrow_core.service_host import HostCheck, HostWatch
-from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.directory_service import EVIDENCE_TTL_S, DirectoryService
+from guavabarrow_daemon.fleet.fleet_service import HEARTBEAT_INTERVAL_S, FleetService
 from guavabarrow_daemon.fleet.hosted_messages import HostPing, HostPong
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -17,7 +18,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavabarrow_daemon.fleet.fleet_messages import FleetMessage
+    from guavabarrow_daemon.fleet.fleet_messages import FleetMessage, PeerHeartbeat
+    from guavabarrow_daemon.fleet.fleet_service import HeartbeatDraft
+
+RELAYED = "relayed"
+"""Evidence against a target that this VM has from its host. It isn't relayed further,
+so that two VMs that select each other don't sustain it."""
 
 
 class HostLossReason(Enum):
@@ -45,17 +51,21 @@
         self.on_bypassed: list[Callable[[str, HostLossReason], None]] = []
         self._reactor = reactor
         self._fleet = kernel.find(FleetService)
+        self._directory = kernel.find(DirectoryService)
         self._links = kernel.find(PeerLinks)
         self._metrics = kernel.find(SessionMetrics)
         self._watch_by_vm: dict[str, HostWatch] = {}
         self._checked_vms: set[str] = set()
         self._host_by_service: dict[str, str] = {}
+        self._suspected_by_host: dict[str, frozenset[str]] = {}
 
     async def start(self) -> None:
         """Subscribe to the messages of other VMs."""
         self._links.on_peer_message.append(self._on_message)
         self._links.on_peer_up.append(self._record_heard)
         self._links.on_peer_lost.append(self._on_peer_lost)
+        self._fleet.on_heartbeat.append(self._on_heartbeat)
+        self._fleet.heartbeat_fillers.append(self._fill_heartbeat)
 
     def host_of(self, service: str) -> str:
         """Return the other VM that runs a service's statements, empty if this one."""
@@ -133,6 +143,39 @@
         if watch is not None:
             watch.record_heard(now_s())
 
+    def _on_heartbeat(self, vm: str, heartbeat: PeerHeartbeat) -> None:
+        """Pass on at once that the host of a service has come to suspect a target."""
+        previous = self._suspected_by_host.pop(vm, frozenset())
+        if vm not in self._host_by_service.values():
+            return
+        suspected = frozenset(
+            target_id
+            for target_id, evidence in heartbeat.suspected.items()
+            if evidence != RELAYED
+        )
+        if suspected:
+            self._suspected_by_host[vm] = suspected
+        if suspected - previous:
+            self._fleet.send_heartbeat_now()
+
+    def _fill_heartbeat(self, draft: HeartbeatDraft) -> None:
+        """Report targets that this VM can't use because its host can't.
+
+        This VM opens no connections to them, but the duty holder counts the VMs that
+        can't use a primary.
+        """
+        for service, host in self._host_by_service.items():
+            if host not in self._suspected_by_host:
+                continue
+            age_s, heartbeat = self._fleet.last_heartbeat(host)
+            if age_s > HEARTBEAT_INTERVAL_S + EVIDENCE_TTL_S:
+                continue
+            for target_id, evidence in heartbeat.suspected.items():
+                entry = self._directory.entry(target_id)
+                if evidence == RELAYED or entry is None or entry.service != service:
+                    continue
+                draft.common["suspected"].setdefault(target_id, RELAYED)
+
     def _record_host(self, service: str, host: str) -> None:
         former = self._host_by_service.pop(service, "")
         if host:
--- a/tests/platform_adapter/local_deployment.py
+++ b/tests/platform_adapter/local_deployment.py
@@ -156,7 +156,11 @@
         self.configure()
 
     def configure(
-        self, keys: tuple[str, ...] = (KEY,), rate: float = 500, **limits: float
+        self,
+        keys: tuple[str, ...] = (KEY,),
+        rate: float = 500,
+        max_connections: int = 20,
+        **limits: float,
     ) -> None:
         """Write the next version of the configuration."""
         self.version += 1
@@ -181,7 +185,7 @@
             "RatePerS": rate,
             "Burst": rate,
         }
-        service = {"Name": SERVICE, "MaxConns": 20, "SyncReplicas": 0}
+        service = {"Name": SERVICE, "MaxConns": max_connections, "SyncReplicas": 0}
         configuration = {
             "Version": self.version,
             "Routes": routes,
