Count, gather and report the usage of teams

Cause: the platform requires reports of each team's operations by window. Nothing runs unless the settings name the duty.

--- a/packages/guavabarrow-core/src/guavabarrow_core/store_clock.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/store_clock.py
@@ -60,3 +60,18 @@
     def latest_store(self, local: float) -> float:
         """Return a store time that is not before the local time."""
         return local - self._low_offset_s
+
+    def estimate_store(self, local: float) -> float:
+        """Return the store time at a local time, as the middle of its bounds.
+
+        Examples
+        --------
+        >>> clock = StoreClock()
+        >>> clock.observe(store_s=100.0, sent_at=5.0, received_at=5.25)
+        >>> clock.estimate_store(5.125)
+        100.0
+        """
+        if self._high_offset_s == INFINITY:
+            # Only relayed answers were received; they give no upper bound.
+            return local - self._low_offset_s
+        return local - (self._low_offset_s + self._high_offset_s) / 2.0
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from guavabarrow_core.target_directory import TargetEntry
+from guavabarrow_core.usage_counts import UsageEntry
 
 MIN_COMPRESS_BYTES = 2000
 """Compressing smaller values rarely saves more than the headers add."""
@@ -75,6 +76,12 @@
         Failure domains none of whose hubs the sender is in contact with.
     domain_reports : dict of str to RelayedDomainReport
         Reports on failure domains that receivers have lost.
+    clock_offset_s : float or None
+        Wall clock of the sender minus the store's clock, in s; None if usage isn't
+        reported.
+    true_offset_s : float or None
+        True time minus the store's clock as a hub knows it, in s; only sent inside its
+        failure domain.
     """
 
     demand_by_team: dict[str, float] = {}
@@ -92,6 +99,8 @@
     unreachable: list[str] | None = None
     lost_domains: list[str] = []
     domain_reports: dict[str, RelayedDomainReport] = {}
+    clock_offset_s: float | None = None
+    true_offset_s: float | None = None
 
 
 class SharedRow(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -280,6 +289,18 @@
     detail: str = ""
 
 
+class UsageCounts(msgspec.Struct, frozen=True, tag="usage"):
+    """Operations of teams by process and window; only what has changed.
+
+    Parameters
+    ----------
+    entries : list of UsageEntry
+        Cumulative counts.
+    """
+
+    entries: list[UsageEntry]
+
+
 class Departure(msgspec.Struct, frozen=True, tag="leave"):
     """Last message of a VM that stops as planned: it runs no operation any more."""
 
@@ -297,6 +318,7 @@
     | ProbeAnswer
     | TokenRequest
     | TokenGrant
+    | UsageCounts
     | Departure
 )
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -300,6 +300,7 @@
                 restore_count,
                 is_write=is_commit,
                 keep_connection=True,
+                transaction=transaction,
             )
         except SessionError as error:
             self.end(transaction)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
@@ -83,6 +83,9 @@
         target is replaced as such.
     has_ended : bool
         Whether the connection was returned.
+    is_counted : bool
+        Whether a target ran or may have run a statement of it, so that it counts as an
+        operation in the team's usage.
     """
 
     connection: SessionConnection
@@ -90,3 +93,4 @@
     service: str
     at_primary: bool
     has_ended: bool = False
+    is_counted: bool = False
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
@@ -7,7 +7,12 @@
 from twisted.internet.defer import TimeoutError
 
 from guavabarrow_core.exceptions import SessionError
-from guavabarrow_core.session_messages import FailureCode, Reply, TransactionState
+from guavabarrow_core.session_messages import (
+    NOT_RUN_CODES,
+    FailureCode,
+    Reply,
+    TransactionState,
+)
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -16,8 +21,13 @@
 from guavabarrow_daemon.targets.interface import TargetConnectionBroken
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavabarrow_core.session_values import PreparedShape
-    from guavabarrow_daemon.front.statement_context import StatementContext
+    from guavabarrow_daemon.front.statement_context import (
+        OpenTransaction,
+        StatementContext,
+    )
     from guavabarrow_daemon.targets.session_connection import SessionConnection
     from guavabarrow_daemon.targets.session_pool import SessionPool
 
@@ -26,12 +36,23 @@
 
 
 class TargetExchange(Service):
-    """Runs single request-reply exchanges on target connections."""
+    """Runs single request-reply exchanges on target connections.
+
+    Attributes
+    ----------
+    on_sent : list of callable
+        Called with the context, and the open transaction or None, of each statement of
+        a caller that is sent to a target. Each returns a callable that is called once,
+        with whether the target ran the statement or may have run it.
+    """
 
     name = "target_exchange"
 
     def __init__(self, kernel: Kernel, reactor: Any) -> None:
         super().__init__(kernel)
+        self.on_sent: list[
+            Callable[[StatementContext, OpenTransaction | None], Callable[[bool], None]]
+        ] = []
         self._reactor = reactor
         self._primary_service = kernel.find(PrimaryService)
         self._metrics = kernel.find(SessionMetrics)
@@ -74,6 +95,7 @@
         is_write: bool = False,
         keep_connection: bool = False,
         setup_only: bool = False,
+        transaction: OpenTransaction | None = None,
     ) -> Reply:
         """Send a statement and wait for its reply.
 
@@ -95,6 +117,8 @@
             Whether no statement of the caller is sent, only BEGIN, which needs no slot
             at the target: its reply updates neither the load estimate nor, unless it
             is OVERLOADED, the send window.
+        transaction : OpenTransaction, optional
+            Transaction that the statement belongs to.
 
         Raises
         ------
@@ -105,8 +129,10 @@
         pool.begin_statement()
         if not setup_only:
             context.was_sent_to_target = True
+        observers = [] if setup_only else self._notify_sent(context, transaction)
         sent = connection.send(data, restore_count, asked_at)
         sent.addBoth(_end_statement, pool)
+        sent.addBoth(_notify_ended, observers)
         sent.addTimeout(max(MIN_TIMEOUT_S, context.deadline - asked_at), self._reactor)
         role = "primary" if is_write else "any"
         try:
@@ -145,6 +171,11 @@
             self.release_connection(connection, pool)
         return reply
 
+    def _notify_sent(
+        self, context: StatementContext, transaction: OpenTransaction | None
+    ) -> list[Callable[[bool], None]]:
+        return [callback(context, transaction) for callback in self.on_sent]
+
     def release_connection(
         self, connection: SessionConnection, pool: SessionPool
     ) -> None:
@@ -157,3 +188,15 @@
 def _end_statement(result: Any, pool: SessionPool) -> Any:
     pool.end_statement()
     return result
+
+
+def _notify_ended(result: Any, observers: list[Callable[[bool], None]]) -> Any:
+    """Tell whether the target may have run the statement; lost replies count as run."""
+    is_refused = (
+        isinstance(result, Reply)
+        and result.failure is not None
+        and result.failure.code in NOT_RUN_CODES
+    )
+    for notify in observers:
+        notify(not is_refused)
+    return result
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -67,6 +67,23 @@
             registry=self.registry,
         )
 
+        self.usage_operations = self._counter(
+            "usage_operations", "Operations counted for usage reports"
+        )
+        self.usage_reports = self._counter(
+            "usage_reports", "Steps of reporting usage by result", "step", "result"
+        )
+        self.usage_last_window = Gauge(
+            "guavabarrow_usage_last_window",
+            "Last window that this VM reported",
+            registry=self.registry,
+        )
+        self.usage_unsent_windows = Gauge(
+            "guavabarrow_usage_unsent_windows",
+            "Windows whose counts are stored but not accepted yet",
+            registry=self.registry,
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_settings.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_settings.py
@@ -46,6 +46,14 @@
         Fraction by which all VMs together may exceed a team's rate and burst.
     rate_slack : float
         Operations per window by which they may exceed them in addition.
+    usage_window_s : float or None
+        Length of the windows in which the usage of teams is reported, in s; None if no
+        usage is reported.
+    usage_late_s : float
+        Time after the end of a window at which its report is due, in s.
+    duty_lease_s : float
+        Time within which the platform forbids that a duty passes from one VM to another
+        and back, in s.
     """
 
     vm: str = Field(min_length=1)
@@ -63,6 +71,9 @@
     rate_window_s: float = Field(default=5.0, gt=0)
     rate_over: float = Field(default=0.0, ge=0)
     rate_slack: float = Field(default=0.0, ge=0)
+    usage_window_s: float | None = Field(default=None, gt=0)
+    usage_late_s: float = Field(default=10.0, gt=0)
+    duty_lease_s: float = Field(default=3.0, ge=0)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -31,6 +31,7 @@
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.readiness_site import ReadinessSite
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
+from guavabarrow_daemon.usage.register import register_usage_services
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,6 +42,7 @@
         DirectorySource,
         OperatorSource,
         PromotionAuthority,
+        UsageAuthority,
         WatchedTable,
     )
 
@@ -73,6 +75,10 @@
         Create a codec for each caller or target connection.
     ready_path : str
         HTTP path of the load balancer's readiness check.
+    usage_table : WatchedTable or None
+        Table of the stored usage reports; None if the platform takes none.
+    usage_authority : UsageAuthority or None
+        Accepts usage reports.
     """
 
     fleet_table: WatchedTable
@@ -82,6 +88,8 @@
     create_front_codec: Callable[[], FrontCodec]
     create_target_codec: Callable[[], TargetCodec]
     ready_path: str
+    usage_table: WatchedTable | None = None
+    usage_authority: UsageAuthority | None = None
 
 
 class SessionVm:
@@ -141,6 +149,15 @@
         kernel.register(SessionRouter(kernel, reactor))
         kernel.register(RateService(kernel, settings, reactor))
         kernel.register(SessionAdmission(kernel))
+        # Stops after the front, whose last statements are counted, and before the
+        # links, over which the last counts are sent.
+        register_usage_services(
+            kernel,
+            settings,
+            interfaces.usage_table,
+            interfaces.usage_authority,
+            reactor,
+        )
         kernel.register(
             SessionFront(kernel, settings, interfaces.create_front_codec, reactor)
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
@@ -9,6 +9,8 @@
 from guavabarrow_core.exceptions import GuavabarrowError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavabarrow_core.session_configuration import SessionConfiguration
     from guavabarrow_core.target_directory import TargetEntry
 
@@ -136,6 +138,68 @@
     """No response arrived; the promotion may or may not have been carried out."""
 
 
+class UsageReportRefused(GuavabarrowError):
+    """The platform rejects a usage report; repeating it is useless.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of the response.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"The usage report was refused with status {status}.")
+        self.status = status
+
+
+class UsageReportUnanswered(GuavabarrowError):
+    """No usable response arrived; the report may or may not have been accepted."""
+
+
+class UsageReportWithdrawn(GuavabarrowError):
+    """The report wasn't sent, because the sender no longer holds the duty."""
+
+
+class UsageAuthority(ABC):
+    """Platform service that accepts the usage of each team."""
+
+    @abstractmethod
+    async def report(
+        self,
+        window: int,
+        count_by_team: dict[str, int],
+        *,
+        holder: str,
+        fencing_token: int,
+        may_send: Callable[[], bool],
+    ) -> None:
+        """Report the operations of each team in a window.
+
+        Parameters
+        ----------
+        window : int
+            Number of the window.
+        count_by_team : dict of str to int
+            Operations of each team.
+        holder : str
+            VM that holds the duty.
+        fencing_token : int
+            Version of the duty's row.
+        may_send : callable
+            Called immediately before the request is sent; returns whether this VM
+            still holds the duty under this token.
+
+        Raises
+        ------
+        UsageReportRefused
+            If the platform rejects the report.
+        UsageReportUnanswered
+            If no usable response arrived, or too many calls were made.
+        UsageReportWithdrawn
+            If ``may_send`` returned false.
+        """
+
+
 class PromotionAuthority(ABC):
     """Platform service that makes a target the primary of its service."""
 
--- /dev/null
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Counting, gathering and reporting of the usage of teams."""
--- a/packages/guavabarrow-daemon/tests/sim_fleet.py
+++ b/packages/guavabarrow-daemon/tests/sim_fleet.py
@@ -104,6 +104,9 @@
         kernel.register(RateService(kernel, settings, reactor))
         kernel.find(PrimaryWatch)._admin_client = self._admin_client
         kernel.find(PromotionService)._admin_client = self._admin_client
+        self.settings = settings
+        if fleet.register_services is not None:
+            fleet.register_services(self)
         Deferred.fromCoroutine(kernel.start())
         self._statement_loop = LoopingCall(self._use_primary)
         self._statement_loop.clock = reactor
@@ -144,9 +147,17 @@
     ----------
     stale_primary_uses : list of str
         Descriptions of each use of a primary after another target became the leader.
+    register_services : callable or None
+        Called with each VM before it starts, to register further services.
     """
 
-    def __init__(self, monkeypatch, per_domain: int = 3) -> None:
+    def __init__(
+        self,
+        monkeypatch,
+        per_domain: int = 3,
+        register_services: Callable[[SimVm], None] | None = None,
+    ) -> None:
+        self.register_services = register_services
         self.network = SimNetwork()
         self.store = SimStore(self.network)
         self.operator_store = SimStore(self.network)
