Test usage reports under faults and explore random failures of their order

Cause: the platform's rules on reports must hold through holder changes, freezes, lost answers, late writes and outages. Change: a simulated fleet with usage (sim_usage), fault tests, core tests with a seeded exploration, and mutations. Marked reports are deleted first when there are too many. Result: 48 core and 19 daemon tests of the part pass.

--- a/packages/guavabarrow-core/src/guavabarrow_core/usage_counts.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/usage_counts.py
@@ -275,7 +275,7 @@
         for team, count in count_by_team.items():
             if count > counts.get(team, 0):
                 self.revision += 1
-                counts[team] = max(count, counts.get(team, 0))
+                counts[team] = count
                 revisions[team] = self.revision
                 known.changed_in_window = current_window
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/usage_report.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/usage_report.py
@@ -29,6 +29,10 @@
 KEPT_REPORTS = 8
 """Marked reports that stay stored, so that operators can compare them."""
 
+MAX_MARKED_REPORTS = 2 * KEPT_REPORTS
+"""Marked reports above which the oldest is deleted before anything else is done, while
+failures leave no time for it."""
+
 MAX_UNSENT_REPORTS = 6
 """Reports that are stored while the platform doesn't accept any. Later windows are
 stored after some of these were sent, as long as their counts are kept."""
@@ -213,16 +217,20 @@
                 return self._mark(report)
         if unsent and unsent[0].window < self._last_marked():
             return Step(StepKind.DELETE, self.token, unsent[0])
+        marked = len(self.report_by_window) - len(unsent)
+        if marked > MAX_MARKED_REPORTS:
+            return self._delete_oldest()
         if len(unsent) < MAX_UNSENT_REPORTS:
             step = self._close_next(true_s, counts)
             if step is not None:
                 return step
         if unsent:
             return Step(StepKind.SEND, self.token, unsent[0])
-        if len(self.report_by_window) > KEPT_REPORTS:
-            oldest = self.report_by_window[min(self.report_by_window)]
-            return Step(StepKind.DELETE, self.token, oldest)
-        return None
+        return self._delete_oldest() if marked > KEPT_REPORTS else None
+
+    def _delete_oldest(self) -> Step:
+        oldest = self.report_by_window[min(self.report_by_window)]
+        return Step(StepKind.DELETE, self.token, oldest)
 
     def _unsent(self) -> list[StoredReport]:
         reports = sorted(self.report_by_window.items())
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/gathering_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/gathering_service.py
@@ -130,13 +130,14 @@
 
     def missing_domains(self, window: int) -> list[str]:
         """Return failure domains none of whose VMs has complete counts of a window."""
-        domains = {member.domain for member in self._expected_members()}
+        members = self._fleet.state.member_by_vm().values()
+        running = [m for m in members if self._fleet.departed_at(m.vm) is None]
         present = {
             member.domain
-            for member in self._expected_members()
+            for member in running
             if self.tally.is_final(UsageSource(member.vm, member.incarnation), window)
         }
-        return sorted(domains - present)
+        return sorted({member.domain for member in running} - present)
 
     def _expected_sources(self) -> Iterator[UsageSource]:
         return (
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -55,6 +55,8 @@
         Additional duration of each call.
     compacted_version : int
         Changes up to this version are dropped from the history.
+    team_by_key : dict of str to str
+        Teams of the configurations in this table.
     """
 
     def __init__(self, network: SimNetwork) -> None:
@@ -66,6 +68,7 @@
         self.drops_write_replies = False
         self.extra_latency_s = 0.0
         self.compacted_version = 0
+        self.team_by_key: dict[str, str] = {}
 
     def is_reachable_from(self, host: str) -> bool:
         """Return whether calls of a host are answered."""
@@ -161,6 +164,7 @@
     """The operators' table: one row with a configuration of a given size."""
 
     def __init__(self, store: SimStore, reactor: SimReactor) -> None:
+        self._store = store
         self._table = SimTable(store, reactor)
 
     async def read(self) -> tuple[OperatorOrders | None, TableReadResult]:
@@ -181,7 +185,11 @@
         if not versions:
             return None
         limits = {SERVICE: ServiceLimits()}
-        configuration = SessionConfiguration(max(versions), limits_by_service=limits)
+        configuration = SessionConfiguration(
+            max(versions),
+            limits_by_service=limits,
+            team_by_key=self._store.team_by_key,
+        )
         return OperatorOrders(configuration, frozenset())
 
 
--- a/packages/guavabarrow-daemon/tests/sim_usage.py
+++ b/packages/guavabarrow-daemon/tests/sim_usage.py
@@ -140,6 +140,7 @@
         self.is_on = is_on
         self._next_tick = 0.0
         super().__init__(monkeypatch, per_domain, self._register)
+        self.operator_store.team_by_key.update({team: team for team in TEAM_RATES})
         self.wait_until_serving()
 
     def _register(self, vm: SimVm) -> None:
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -230,4 +230,78 @@
         "orders.append((0.0, member.vm))",
         "test_peer_topology",
     ),
+    Mutation(
+        "true_time",
+        "self._agreed_offset_s = median(offsets)",
+        "self._agreed_offset_s = offsets[-1]",
+        "test_true_time",
+    ),
+    Mutation(
+        "true_time",
+        "if len(offsets) >= MIN_REPORTERS:",
+        "if offsets:",
+        "test_true_time",
+    ),
+    Mutation(
+        "usage_counts",
+        "if count > counts.get(team, 0):",
+        "if count != counts.get(team, 0):",
+        "test_usage_counts",
+    ),
+    Mutation(
+        "usage_counts",
+        "self.final_through = max(self.final_through, oldest_pending - 1)",
+        "self.final_through = max(self.final_through, current - 1)",
+        "test_usage_counts",
+    ),
+    Mutation(
+        "usage_counts",
+        "if newest > current_window + 1:",
+        "if newest > current_window + 99:",
+        "test_usage_counts",
+    ),
+    Mutation(
+        "usage_report",
+        "return DUTY_LEASE_S + lease_s",
+        "return lease_s",
+        "test_usage_report",
+    ),
+    Mutation(
+        "usage_report",
+        "self._active_from = now + self._settle_s",
+        "self._active_from = now",
+        "test_usage_report",
+    ),
+    Mutation(
+        "usage_report",
+        "return 0 < held_token == self.token and now >= self._active_from",
+        "return self.token > 0 and now >= self._active_from",
+        "test_usage_report",
+    ),
+    Mutation(
+        "usage_report",
+        "return Step(StepKind.SEND, self.token, unsent[0])",
+        "return Step(StepKind.SEND, self.token, replace(unsent[0], "
+        "count_by_team=counts.totals(unsent[0].window)))",
+        "test_usage_report",
+    ),
+    Mutation(
+        "usage_report",
+        "if version is None:\n            self._is_read = False",
+        "if version is None:\n            self.report_by_window[step.window] = "
+        "step.report",
+        "test_usage_report",
+    ),
+    Mutation(
+        "usage_report",
+        "if unsent and unsent[0].window < self._last_marked():",
+        "if False:",
+        "test_usage_report",
+    ),
+    Mutation(
+        "usage_report",
+        "window = max(newest + 1, current - KEPT_WINDOWS + 1)",
+        "window = max(newest + 1, current - 1)",
+        "test_usage_report",
+    ),
 )
