Send counts of open windows only inside a domain; test counting and the client

Cause: counts of all VMs twice a second between domains would add bytes that nobody needs before the window ends. Change: a cursor for each window; the stand-in platform learns the call; end-to-end, client, settings and counting tests.

--- a/packages/guavabarrow-core/src/guavabarrow_core/usage_counts.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/usage_counts.py
@@ -214,17 +214,19 @@
         )
 
 
-class UsageTally:
-    """Largest counts known of each process, window and team.
+@dataclass(slots=True)
+class UsageCursor:
+    """How much of a tally another VM has been sent."""
 
-    Attributes
-    ----------
-    revision : int
-        Rises with each change.
-    """
+    final_revision: int = 0
+    revision_by_window: dict[int, int] = field(default_factory=dict)
+
+
+class UsageTally:
+    """Largest counts known of each process, window and team."""
 
     def __init__(self) -> None:
-        self.revision = 0
+        self._revision = 0
         self._counts_by_source: dict[UsageSource, _SourceCounts] = {}
 
     def merge(self, entry: UsageEntry, current_window: int) -> None:
@@ -250,13 +252,13 @@
             known = _SourceCounts(entry.first_window, current_window)
             self._counts_by_source[entry.source] = known
             # A process without counts must be passed on too.
-            self.revision += 1
-            known.final_revision = self.revision
+            self._revision += 1
+            known.final_revision = self._revision
         if entry.final_through > known.final_through:
-            self.revision += 1
+            self._revision += 1
             known.final_through, known.final_revision = (
                 entry.final_through,
-                self.revision,
+                self._revision,
             )
             known.changed_in_window = current_window
         for window, count_by_team in entry.counts_by_window.items():
@@ -274,43 +276,54 @@
         revisions = known.revisions_by_window.setdefault(window, {})
         for team, count in count_by_team.items():
             if count > counts.get(team, 0):
-                self.revision += 1
+                self._revision += 1
                 counts[team] = count
-                revisions[team] = self.revision
+                revisions[team] = self._revision
                 known.changed_in_window = current_window
 
-    def changes_since(
+    def take_changes(
         self,
-        revision: int,
+        cursor: UsageCursor,
         *,
         without_vm: str = "",
         only: UsageSource | None = None,
+        through: int = STOPPED_WINDOW,
     ) -> list[UsageEntry]:
-        """Return what changed after a revision.
+        """Return what has changed since the last call with a cursor, and move it.
 
         Parameters
         ----------
-        revision : int
-            Value of ``revision`` at an earlier call, 0 for everything.
+        cursor : UsageCursor
+            What was sent before; a new one for everything.
         without_vm : str
             VM whose own counts are left out, because it has them.
         only : UsageSource, optional
             Process to which the result is limited.
+        through : int
+            Last window whose counts are sent; later ones are sent by a later call.
         """
         entries = []
+        sent_by_window = cursor.revision_by_window
+        windows: set[int] = set()
         for source, known in self._counts_by_source.items():
+            windows.update(known.counts_by_window)
             if source.vm == without_vm or (only is not None and source != only):
                 continue
             changed = {}
             for window, revisions in known.revisions_by_window.items():
+                sent = sent_by_window.get(window, 0)
                 counts = known.counts_by_window[window]
-                teams = {t: counts[t] for t, at in revisions.items() if at > revision}
-                if teams:
+                teams = {t: counts[t] for t, at in revisions.items() if at > sent}
+                if teams and window <= through:
                     changed[window] = teams
-            if changed or known.final_revision > revision:
+            if changed or known.final_revision > cursor.final_revision:
                 entries.append(
                     UsageEntry(source, known.first_window, known.final_through, changed)
                 )
+        cursor.final_revision = self._revision
+        cursor.revision_by_window = {
+            window: self._revision for window in windows if window <= through
+        }
         return entries
 
     def prune(self, current_window: int) -> None:
--- a/packages/guavabarrow-core/tests/test_usage_counts.py
+++ b/packages/guavabarrow-core/tests/test_usage_counts.py
@@ -14,6 +14,7 @@
     InvalidUsageCount,
     UnknownUsageTeam,
     UsageCounter,
+    UsageCursor,
     UsageEntry,
     UsageSource,
     UsageTally,
@@ -55,20 +56,32 @@
 
 
 @given(st.lists(st.tuples(st.sampled_from("ab"), st.integers(1, 9)), max_size=20))
-def test_changes_since_a_revision_bring_another_tally_up_to_date(changes):
-    """Guards against counts that are never passed on."""
+def test_changes_bring_another_tally_up_to_date(changes):
+    """Guards against counts that are never passed on, or again and again."""
     first, second = UsageTally(), UsageTally()
-    known, sent = {}, 0
+    known, cursor = {}, UsageCursor()
     for team, operations in changes:
         known[team] = known.get(team, 0) + operations
         first.merge(entry_of({10: dict(known)}), 10)
-        for entry in first.changes_since(sent):
+        for entry in first.take_changes(cursor):
             second.merge(entry, 10)
-        sent = first.revision
-        assert first.changes_since(sent) == []
+        assert first.take_changes(cursor) == []
     assert second.totals(10) == known
 
 
+def test_counts_of_an_open_window_are_sent_once_it_has_ended():
+    """Guards against counts that are skipped because a later window was sent."""
+    tally, cursor = UsageTally(), UsageCursor()
+    tally.merge(entry_of({9: {"red": 1}, 10: {"red": 2}}), 10)
+    first = tally.take_changes(cursor, through=9)
+    tally.merge(entry_of({9: {"red": 3}}), 10)
+    second = tally.take_changes(cursor, through=10)
+    assert [entry.counts_by_window for entry in first] == [{9: {"red": 1}}]
+    assert [entry.counts_by_window for entry in second] == [
+        {9: {"red": 3}, 10: {"red": 2}}
+    ]
+
+
 def test_operations_count_in_the_window_in_which_they_were_sent():
     """Guards against counting by the time of the answer, or what wasn't run."""
     counter = UsageCounter(WINDOW_S, wait_s=2.5)
@@ -130,7 +143,7 @@
         assert len(counter.entry(SOURCE).counts_by_window) <= KEPT_WINDOWS
     assert not tally.has_data(39 - KEPT_WINDOWS) or tally.totals(10) == {}
     assert tally.totals(10) == {}
-    sources = {entry.source for entry in tally.changes_since(0)}
+    sources = {entry.source for entry in tally.take_changes(UsageCursor())}
     assert SOURCE in sources
 
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/gathering_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/gathering_service.py
@@ -1,8 +1,8 @@
 """Gathers the counts of all VMs at the duty holder, through the domains' observers.
 
-A VM sends its counts to the observer of its failure domain, and the observer sends all
-that it knows to the duty holder. The observer's own counts also go to another hub,
-because the holder may be the observer itself and would take them along if it is killed.
+A VM sends its counts to the observer of its failure domain, and the observer sends
+those of the windows that have ended to the duty holder. The observer's own counts also
+go to another hub, because they would be lost if the observer is killed.
 """
 
 from __future__ import annotations
@@ -12,8 +12,10 @@
 from twisted.internet.task import LoopingCall
 
 from guavabarrow_core.usage_counts import (
+    STOPPED_WINDOW,
     InvalidUsageCount,
     UnknownUsageTeam,
+    UsageCursor,
     UsageEntry,
     UsageSource,
     UsageTally,
@@ -74,7 +76,7 @@
         self._clock = kernel.find(TrueClock)
         self._counter = kernel.find(UsageCounting).counter
         self._own = UsageSource(self._fleet.state.vm, self._fleet.state.incarnation)
-        self._cursor_by_vm: dict[str, dict[UsageSource | None, int]] = {}
+        self._cursors_by_vm: dict[str, dict[UsageSource | None, UsageCursor]] = {}
         self._known_teams: set[str] = set()
         self._loop: LoopingCall | None = None
 
@@ -93,8 +95,8 @@
             self._loop.stop()
         self._counter.stop()
         self._merge_own()
-        for vm, _ in self._destinations():
-            self._send(vm, None)
+        for vm, _, _ in self._destinations():
+            self._send(vm, None, STOPPED_WINDOW)
 
     @property
     def current_window(self) -> int:
@@ -174,45 +176,55 @@
         self._counter.advance(self._clock.true_s())
         self._merge_own()
         self.tally.prune(self.current_window)
-        for vm, only in self._destinations():
-            self._send(vm, only)
+        for vm, only, through in self._destinations():
+            self._send(vm, only, through)
 
     def _merge_own(self) -> None:
         self._merge(self._own.vm, self._counter.entry(self._own))
 
-    def _destinations(self) -> Iterator[tuple[str, UsageSource | None]]:
-        """Yield VMs to send to, and the only process whose counts they get, if any."""
+    def _destinations(self) -> Iterator[tuple[str, UsageSource | None, int]]:
+        """Yield VMs to send to.
+
+        Yields
+        ------
+        tuple of str, UsageSource or None, and int
+            The VM, the only process whose counts it gets, if any, and the last window
+            whose counts it gets.
+        """
         own = self._own.vm
         duty = self._fleet.state.duty()
         holder = duty.holder if duty is not None else ""
         observer = self._fleet.observer()
         if observer != own:
-            yield observer, self._own if holder == own else None
+            yield observer, self._own if holder == own else None, STOPPED_WINDOW
             return
         if holder not in ("", own):
-            yield holder, None
+            # The links between domains are scarce, and nobody reports an open window.
+            yield holder, None, self.current_window - 1
         live_peers = self._links.live_peers()
         for hub in self._fleet.hubs_by_domain.get(self._fleet.domain, ()):
             if hub not in (own, holder) and hub in live_peers:
-                yield hub, self._own
+                yield hub, self._own, STOPPED_WINDOW
                 return
 
-    def _send(self, vm: str, only: UsageSource | None) -> None:
+    def _send(self, vm: str, only: UsageSource | None, through: int) -> None:
         # Builds without usage reports close the link on a message of unknown type.
         _, heartbeat = self._fleet.last_heartbeat(vm)
         if heartbeat.clock_offset_s is None or not self._links.is_linked(vm):
             return
-        cursors = self._cursor_by_vm.setdefault(vm, {})
-        entries = self.tally.changes_since(
-            cursors.get(only, 0), without_vm=vm, only=only
+        cursors = self._cursors_by_vm.setdefault(vm, {})
+        entries = self.tally.take_changes(
+            cursors.setdefault(only, UsageCursor()),
+            without_vm=vm,
+            only=only,
+            through=through,
         )
-        cursors[only] = self.tally.revision
         if entries:
             self._links.send(vm, UsageCounts(entries))
 
     def _on_peer_up(self, vm: str) -> None:
         """Send everything again over a new link: messages may have been lost."""
-        self._cursor_by_vm.pop(vm, None)
+        self._cursors_by_vm.pop(vm, None)
 
     def _on_message(self, vm: str, message: FleetMessage) -> None:
         if isinstance(message, UsageCounts):
--- a/packages/guavabarrow-daemon/tests/sim_usage.py
+++ b/packages/guavabarrow-daemon/tests/sim_usage.py
@@ -130,14 +130,24 @@
         Operations that targets began to run, by window of true time.
     wall_step_by_vm : dict of str to float
         Error of the VMs' wall clocks, in s.
+    other_builds : frozenset of str
+        VMs whose build doesn't know usage reports.
     """
 
-    def __init__(self, monkeypatch, per_domain: int = 3, *, is_on: bool = True) -> None:
+    def __init__(
+        self,
+        monkeypatch,
+        per_domain: int = 3,
+        *,
+        is_on: bool = True,
+        other_builds: frozenset[str] = frozenset(),
+    ) -> None:
         self.platform = SimUsagePlatform()
         self.usage_store: SimStore | None = None
         self.true_counts: dict[int, Counter[str]] = {}
         self.wall_step_by_vm: dict[str, float] = {}
         self.is_on = is_on
+        self.other_builds = other_builds
         self._next_tick = 0.0
         super().__init__(monkeypatch, per_domain, self._register)
         self.operator_store.team_by_key.update({team: team for team in TEAM_RATES})
@@ -146,6 +156,8 @@
     def _register(self, vm: SimVm) -> None:
         if self.usage_store is None:
             self.usage_store = SimStore(self.network)
+        if vm.name in self.other_builds:
+            return
         settings = vm.settings.model_copy(
             update={
                 "usage_window_s": WINDOW_S if self.is_on else None,
@@ -182,7 +194,7 @@
     def _send_operations(self) -> None:
         counts = self.true_counts.setdefault(self.window, Counter())
         for vm in self.vm_by_name.values():
-            if vm.host in self.network.suspended:
+            if vm.host in self.network.suspended or vm.name in self.other_builds:
                 continue
             for team, operations in TEAM_RATES.items():
                 counts[team] += operations
@@ -213,7 +225,6 @@
         *,
         off: float = 0.05,
         late_s: float = LATE_S,
-        repeats: bool = True,
     ) -> None:
         """Check that all windows were reported in time, and the platform's rules."""
         self.platform.assert_holders()
--- a/packages/guavabarrow-daemon/tests/test_usage_reports.py
+++ b/packages/guavabarrow-daemon/tests/test_usage_reports.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import pytest
-from sim_usage import LATE_S, TEAM_RATES, WINDOW_S, UsageFleet
+from sim_usage import LATE_S, TEAM_RATES, WALL_START_S, WINDOW_S, UsageFleet
+from twisted.internet.defer import Deferred
 
-from guavabarrow_core.usage_counts import UsageEntry, UsageSource
+from guavabarrow_core.usage_counts import UsageCursor, UsageEntry, UsageSource
 from guavabarrow_core.usage_report import KEPT_REPORTS
+from guavabarrow_daemon.fleet.duty_service import DutyService
 from guavabarrow_daemon.fleet.fleet_messages import UsageCounts
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.kernel import UnknownService
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 from guavabarrow_daemon.usage.gathering_service import SEND_INTERVAL_S, UsageGathering
+from guavabarrow_daemon.usage.true_clock import TrueClock
 
 
 @pytest.fixture
@@ -41,6 +44,10 @@
     windows = [call.window for call in fleet.platform.calls]
     assert len(windows) == len(set(windows))
     assert windows == sorted(windows)
+    status = fleet.reporting(fleet.duty_vm()).status()
+    assert (status.is_reporting, status.unsent_windows) == (True, [])
+    assert (status.last_window, status.missing_domains) == (windows[-1], [])
+    assert status.last_holder == fleet.duty_vm()
 
 
 def test_a_complete_window_is_closed_early(fleet):
@@ -238,3 +245,82 @@
     before = counter._value.get()
     fleet.run(10.0)
     assert 10.0 <= counter._value.get() - before <= 10.0 / SEND_INTERVAL_S + 1
+
+
+def test_a_holder_that_stops_as_planned_delays_no_report(fleet):
+    """Guards against windows that are late because the duty is handed over."""
+    first = fleet.window - 1
+    fleet.run(2.3)
+    holder = fleet.duty_vm()
+    duty = fleet.vm_by_name[holder].kernel.find(DutyService)
+    Deferred.fromCoroutine(duty.hand_over())
+    fleet.run(1.0)
+    fleet.stop(holder)
+    finish(fleet, first, off=0.005)
+
+
+def test_reports_go_on_after_all_vms_lost_power(fleet):
+    """Guards against a second report of a window that was reported before the loss."""
+    fleet.run(1.0)
+    names = list(fleet.vm_by_name)
+    for name in names:
+        fleet.kill(name)
+    fleet.run(2.0)
+    for name in names:
+        fleet.start(name)
+    fleet.run(2 * WINDOW_S)
+    first = fleet.window
+    finish(fleet, first)
+
+
+def test_reports_go_on_after_the_store_applied_writes_late(fleet):
+    """Guards against counts that differ from those of a write without an answer."""
+    first = fleet.window - 1
+    fleet.usage_store.write_delay_s = 2.0
+    fleet.run(12.0)
+    fleet.usage_store.write_delay_s = 0.0
+    finish(fleet, first, late_s=20.0)
+
+
+def test_vms_of_an_earlier_build_get_no_counts(monkeypatch):
+    """Guards against links that an earlier build closes on an unknown message, while
+    builds are replaced."""
+    fleet = UsageFleet(monkeypatch, other_builds=frozenset({"west-0"}))
+    fleet.run(2 * WINDOW_S)
+    metrics = fleet.vm_by_name["west-0"].kernel.find(SessionMetrics)
+    assert metrics.fleet_messages.labels("received", "usage")._value.get() == 0
+
+
+def test_vms_that_hear_few_others_follow_their_observers_true_time(monkeypatch):
+    """Guards against a true time that depends on the clocks of the few VMs in reach."""
+    fleet = UsageFleet(monkeypatch, per_domain=5)
+    fleet.run(3.0)
+    inner = fleet.vm_by_name["west-4"].kernel
+    assert not inner.find(FleetService).is_hub()
+    hubs = inner.find(FleetService).hubs_by_domain["west"]
+    fleet.wall_step_by_vm = dict.fromkeys((*hubs, "west-4"), 3.0)
+    fleet.run(3.0)
+    error_s = inner.find(TrueClock).true_s() - WALL_START_S - fleet.network.now
+    assert abs(error_s) < 0.1
+
+
+def test_open_windows_stay_inside_their_domain(fleet):
+    """Guards against bytes between domains for counts that nobody reports yet."""
+    holder = fleet.duty_vm()
+    fleet.run(3.0)
+    tally = fleet.vm_by_name[holder].kernel.find(UsageGathering).tally
+    sources = {
+        entry.source.vm.split("-")[0]
+        for entry in tally.take_changes(UsageCursor())
+        if fleet.window in entry.counts_by_window
+    }
+    assert sources <= {holder.split("-")[0]}
+
+
+def test_counts_lost_with_a_link_are_sent_again(fleet):
+    """Guards against messages that were sent over a link that had died."""
+    fleet.run(WINDOW_S - fleet.network.now % WINDOW_S - 1.2)
+    first = fleet.window
+    fleet.network.blackhole_connections("west-2")
+    fleet.run(3.0)
+    finish(fleet, first, off=0.005)
--- a/tests/platform_adapter/local_deployment.py
+++ b/tests/platform_adapter/local_deployment.py
@@ -22,6 +22,8 @@
 SERVICE = "orders"
 KEY = "key-of-north"
 TEAM = "north-team"
+USAGE_WINDOW_S = 1
+USAGE_LATE_S = 6
 
 
 def wait_for(condition, description: str, timeout_s: float = WAIT_S):
@@ -98,9 +100,19 @@
             "Listen": {"Front": self.front, "Ready": self.ready},
             "InternalPorts": [peer_port, self.metrics_port],
             "Limits": {"MaxFds": 1000},
-            "Bounds": {"GraceS": 6, "QuotaWindowS": 5, "QuotaSlack": 20},
+            "Bounds": {
+                "GraceS": 6,
+                "QuotaWindowS": 5,
+                "QuotaSlack": 20,
+                "UsageWindowS": USAGE_WINDOW_S,
+                "UsageLateS": USAGE_LATE_S,
+                "LeaseMs": 500,
+            },
             "platform": {"Address": deployment.store.address},
-            "CloudApi": {"Address": deployment.store.address},
+            "CloudApi": {
+                "Address": deployment.store.address,
+                "Duties": deployment.duties,
+            },
         }
         path = deployment.folder / f"{name}.yaml"
         # The settings file is YAML, of which JSON is a subset.
@@ -152,6 +164,7 @@
         self.store = StandInStore()
         self.group = StandInGroup(self.store, SERVICE)
         self.vms: list[Vm] = []
+        self.duties = ["failover"]
         self.version = 0
         self.configure()
 
--- a/tests/platform_adapter/standin_platform.py
+++ b/tests/platform_adapter/standin_platform.py
@@ -24,6 +24,16 @@
         return probe.getsockname()[1]
 
 
+@dataclass(frozen=True)
+class UsageReport:
+    """A report of the operations of each team in a window."""
+
+    holder: str
+    token: int
+    window: int
+    counts: dict[str, int]
+
+
 class StandInStore:
     """Store of versioned rows with conditional writes and a feed of changes."""
 
@@ -38,6 +48,9 @@
         self.address = self._server.address
         self.promote = lambda service, target_id: False
         self.promotions: list[tuple[str, str, str, int]] = []
+        self.usage_reports: list[UsageReport] = []
+        self.usage_status = 200
+        self.usage_delay_s = 0.0
 
     def put(self, table: str, key: str, value: object) -> None:
         """Write a row, as an operator or a database would."""
@@ -64,6 +77,8 @@
         self.calls.append(path.path)
         if path.path == "/promote":
             return self._promote(request)
+        if path.path == "/usage":
+            return self._report_usage(request)
         if self.is_down:
             return 503, {}
         match path.path:
@@ -84,6 +99,21 @@
         accepted = self.promote(body["Service"], body["Id"])
         return (200 if accepted else 409), {}
 
+    def _report_usage(self, request: _HttpRequest) -> tuple[int, dict]:
+        body = json.loads(request.body)
+        if set(body) != {"WindowId", "Counts"}:
+            return 400, {}
+        self.usage_reports.append(
+            UsageReport(
+                request.headers["Guavabarrow-Lease-Holder"],
+                int(request.headers["Guavabarrow-Fencing-Token"]),
+                body["WindowId"],
+                body["Counts"],
+            )
+        )
+        time.sleep(self.usage_delay_s)
+        return self.usage_status, {}
+
     def _transact(self, body: dict) -> tuple[int, dict]:
         with self._changed:
             for condition in body["ExpectRev"]:
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -39,6 +39,25 @@
     assert settings.rate_slack == 20
 
 
+def test_usage_is_off_unless_the_settings_name_the_duty(tmp_path):
+    """Guards against calls that a platform doesn't expect."""
+    bounds = {"UsageWindowS": 5, "UsageLateS": 10, "LeaseMs": 3000, "UsageOff": 0.05}
+    for duties, window_s in ((["failover"], None), (["failover", "metering"], 5.0)):
+        api = {**SETTINGS["CloudApi"], "Duties": duties}
+        settings = load_settings(write_settings(tmp_path, CloudApi=api, Bounds=bounds))
+        assert settings.usage_window_s == window_s
+        assert (settings.usage_late_s, settings.duty_lease_s) == (10.0, 3.0)
+    assert load_settings(write_settings(tmp_path)).usage_window_s is None
+
+
+def test_rejects_a_usage_window_without_length(tmp_path):
+    """Guards against a division by zero at each operation."""
+    api = {**SETTINGS["CloudApi"], "Duties": ["metering"]}
+    path = write_settings(tmp_path, CloudApi=api, Bounds={"UsageWindowS": 0})
+    with pytest.raises(SettingsError):
+        load_settings(path)
+
+
 def test_reports_every_mistake(tmp_path):
     path = write_settings(tmp_path, InternalPorts=[], NodeName=3)
     with pytest.raises(SettingsError) as error:
