--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from guavabarrow_core.target_directory import TargetEntry
+from guavabarrow_core.usage_counts import UsageEntry
 from guavabarrow_daemon.fleet.hosted_messages import (
     HostedReply,
     HostedStatement,
@@ -83,6 +84,12 @@
         Reports on failure domains that receivers have lost.
     is_leaving : bool
         Whether the sender stops as planned and serves only what it has.
+    clock_offset_s : float or None
+        Wall clock of the sender minus the store's clock, in s; None if usage isn't
+        reported.
+    true_offset_s : float or None
+        True time minus the store's clock as a hub knows it, in s; only sent inside its
+        failure domain.
     """
 
     demand_by_team: dict[str, float] = {}
@@ -101,6 +108,8 @@
     lost_domains: list[str] = []
     domain_reports: dict[str, RelayedDomainReport] = {}
     is_leaving: bool = False
+    clock_offset_s: float | None = None
+    true_offset_s: float | None = None
 
 
 class SharedRow(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -289,6 +298,18 @@
     detail: str = ""
 
 
+class UsageCounts(msgspec.Struct, frozen=True, tag="usage"):
+    """Operations of teams by process and window; only what has changed.
+
+    Parameters
+    ----------
+    entries : list of UsageEntry
+        Cumulative counts.
+    """
+
+    entries: list[UsageEntry]
+
+
 class Departure(msgspec.Struct, frozen=True, tag="leave"):
     """Last message of a VM that stops as planned: it runs no operation any more."""
 
@@ -306,6 +327,7 @@
     | ProbeAnswer
     | TokenRequest
     | TokenGrant
+    | UsageCounts
     | Departure
     | HostedStatement
     | HostedReply
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -301,6 +301,7 @@
                 restore_count,
                 is_write=is_commit,
                 keep_connection=True,
+                transaction=transaction,
             )
         except SessionError as error:
             self.end(transaction)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
@@ -106,6 +106,9 @@
         target is replaced as such.
     has_ended : bool
         Whether the connection was returned.
+    is_counted : bool
+        Whether a target ran or may have run a statement of it, so that it counts as an
+        operation in the team's usage.
     """
 
     connection: SessionConnection
@@ -113,6 +116,7 @@
     service: str
     at_primary: bool
     has_ended: bool = False
+    is_counted: bool = False
 
     @property
     def location(self) -> str:
