Order, refuse and budget statements for a whole domain at a service host

Cause: 58 VMs decided independently about connections and slots that they share, so urgent statements waited behind others and nearly every request opened a connection.

Change: statement_queue (priority with bounded shares, fair queueing between teams, entry check, refusal from the queue, spread retry-after times), connection_budget (division of the limit, kept idle connections, pause after TOOMANY, bounds on open transactions), pool_serving (policy of a host beside today's), use in SessionPool and DirectoryService. Services without hosts keep limits, idle times and order. fair_queue's tags became VirtualClock, which StatementQueue reuses.

--- a/packages/guavabarrow-core/src/guavabarrow_core/fair_queue.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fair_queue.py
@@ -19,6 +19,52 @@
 SERVICE_SMOOTHING = 0.05
 
 
+@dataclass(slots=True)
+class VirtualClock:
+    """Virtual time and finish tags of start-time fair queueing.
+
+    Parameters
+    ----------
+    time : float
+        Virtual time: start tag of the item served last.
+    finish_tag_by_team : dict of str to float
+        Finish tag of each team's last item.
+
+    Examples
+    --------
+    >>> clock = VirtualClock()
+    >>> clock.tag("big"), clock.tag("big"), clock.tag("small"), clock.tag("heavy", 4.0)
+    (0.0, 1.0, 0.0, 0.0)
+    >>> clock.tag("heavy", 4.0)
+    0.25
+    """
+
+    time: float = 0.0
+    finish_tag_by_team: dict[str, float] = field(default_factory=dict)
+
+    def tag(self, team: str, weight: float = 1.0) -> float:
+        """Return the start tag of a team's next item and charge the item to it."""
+        start_tag = max(self.time, self.finish_tag_by_team.get(team, 0.0))
+        self.finish_tag_by_team[team] = start_tag + 1.0 / weight
+        return start_tag
+
+    def refund(self, team: str, weight: float = 1.0) -> None:
+        """Take back the charge of an item that is not served."""
+        if team in self.finish_tag_by_team:
+            self.finish_tag_by_team[team] -= 1.0 / weight
+
+    def advance(self, start_tag: float) -> None:
+        """Record that the item with a start tag is served."""
+        self.time = max(self.time, start_tag)
+
+    def forget_if_idle(self, team: str) -> bool:
+        """Drop a team without items unless it used more than its share."""
+        if self.finish_tag_by_team.get(team, 0.0) > self.time:
+            return False
+        self.finish_tag_by_team.pop(team, None)
+        return True
+
+
 @dataclass(slots=True)
 class QueuedItem(Generic[T]):
     """Item that waits for a connection."""
@@ -34,7 +80,6 @@
     """Waiting items of one team in order of arrival."""
 
     weight: float
-    finish_tag: float = 0.0
     items: deque[QueuedItem[T]] = field(default_factory=deque)
 
 
@@ -58,7 +103,7 @@
 
     def __init__(self, max_per_team: int = MAX_QUEUED_PER_TEAM) -> None:
         self._queue_by_team: dict[str, TeamQueue[T]] = {}
-        self._virtual_time = 0.0
+        self._clock = VirtualClock()
         self._max_per_team = max_per_team
         self._service_s = INITIAL_SERVICE_S
         self._length = 0
@@ -110,9 +155,7 @@
                 "The team's queue in front of the database is full.",
                 retry_after_s=self.estimated_wait_s,
             )
-        start_tag = max(self._virtual_time, queue.finish_tag)
-        queue.finish_tag = start_tag + 1.0 / weight
-        item = QueuedItem(value, team, deadline, start_tag)
+        item = QueuedItem(value, team, deadline, self._clock.tag(team, weight))
         queue.items.append(item)
         self._length += 1
         return item
@@ -136,7 +179,7 @@
         next_queue = min(waiting, key=lambda queue: queue.items[0].start_tag)
         item = next_queue.items.popleft()
         self._length -= 1
-        self._virtual_time = item.start_tag
+        self._clock.advance(item.start_tag)
         self._remove_if_idle(item.team)
         return item
 
@@ -156,5 +199,5 @@
 
     def _remove_if_idle(self, team: str) -> None:
         queue = self._queue_by_team[team]
-        if not queue.items and queue.finish_tag <= self._virtual_time:
+        if not queue.items and self._clock.forget_if_idle(team):
             del self._queue_by_team[team]
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -9,7 +9,9 @@
 from twisted.internet.task import LoopingCall, deferLater
 from xxhash import xxh3_64_intdigest
 
+from guavabarrow_core.connection_budget import divide_connections
 from guavabarrow_core.fleet_state import LeadRow, VersionedRow
+from guavabarrow_core.service_host import HostPlan
 from guavabarrow_core.target_directory import TargetDirectory, TargetEntry
 from guavabarrow_daemon.fleet.fleet_messages import UNKNOWN_AGE_S
 from guavabarrow_daemon.fleet.fleet_service import FleetService
@@ -19,6 +21,7 @@
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 from guavabarrow_daemon.store.exceptions import StoreUnavailable
+from guavabarrow_daemon.targets.pool_view import publish_pools
 from guavabarrow_daemon.targets.session_driver import SessionDriver
 from guavabarrow_daemon.targets.session_pool import SessionPool
 
@@ -42,8 +45,8 @@
 OPEN_TIMEOUT_S = 2.0
 """A reachable target that is slow to accept a session is at capacity, not down."""
 
-RESERVED_CONNECTIONS = 2
-"""Connections of each target kept free for joining VMs and status queries."""
+MIN_WEIGHT, MAX_WEIGHT = 0.1, 10.0
+"""Bounds of the weight of a team, which is its rate relative to the mean rate."""
 
 
 class DirectoryService(Service):
@@ -59,6 +62,8 @@
         Called after the list changed.
     list_digest : int
         Digest of the current list.
+    host_plan_of : callable
+        Returns the role of this VM for a service.
     """
 
     name = "directory"
@@ -77,6 +82,7 @@
         self.directory = TargetDirectory()
         self.pool_by_id: dict[str, SessionPool] = {}
         self.on_changed: list[Callable[[], None]] = []
+        self.host_plan_of: Callable[[str], HostPlan] = lambda service: HostPlan()
         self.create_codec = create_codec
         self._driver = SessionDriver(
             create_codec, reactor, open_timeout_s=OPEN_TIMEOUT_S
@@ -151,7 +157,12 @@
             self._reactor,
             on_evidence=self.record_evidence,
             count_handshake=lambda result: metrics.handshakes.labels(result).inc(),
+            count_refusal=lambda priority, reason: metrics.pool_refusals.labels(
+                entry.service, priority, reason
+            ).inc(),
+            count_eviction=metrics.pool_evictions.labels(entry.service).inc,
         )
+        pool.weight_of = self._weight_of
         self.pool_by_id[entry.target_id] = pool
         self._set_limits(pool)
         return pool
@@ -275,6 +286,10 @@
         for pool in list(self.pool_by_id.values()):
             self._set_limits(pool)
             pool.trim()
+        publish_pools(
+            self.kernel.find(SessionMetrics),
+            [pool.describe() for pool in self.pool_by_id.values()],
+        )
 
     def _track_unusable(self) -> None:
         now = now_s()
@@ -293,13 +308,23 @@
         limits = configuration.limits_by_service.get(pool.entry.service)
         if limits is None:
             return
-        members = max(1, len(self._fleet.state.member_by_vm()))
-        available = max(1, limits.max_connections - RESERVED_CONNECTIONS)
-        pool.fair_share = max(1, available // members)
-        pool.connection_limit = max(
-            pool.fair_share, min(available, pool.fair_share + 1)
+        pool.set_limits(
+            divide_connections(
+                limits.max_connections,
+                len(self._fleet.state.member_by_vm()),
+                self.host_plan_of(pool.entry.service),
+            )
         )
 
+    def _weight_of(self, team: str) -> float:
+        """Return a team's rate relative to the mean, 1 if it has no rate."""
+        configuration = self._fleet.configuration
+        rates = configuration.rates() if configuration is not None else {}
+        if team not in rates:
+            return 1.0
+        mean = sum(rate.per_s for rate in rates.values()) / len(rates)
+        return max(MIN_WEIGHT, min(MAX_WEIGHT, rates[team].per_s / max(mean, 1e-9)))
+
     def _on_rows(self, rows: list[VersionedRow]) -> None:
         for row in rows:
             if isinstance(row.row, LeadRow):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -87,6 +87,8 @@
                 self._chooser.mark_behind(pool.entry.target_id)
             else:
                 failed.add(pool.entry.target_id)
+            if not self._chooser.may_retry(context, failed):
+                break
         raise failure
 
     async def _read_once(
@@ -100,11 +102,7 @@
         at_primary = after is None
         pool.load.running += 1
         try:
-            connection = await pool.acquire(
-                context.team,
-                priority=context.route.priority,
-                deadline=context.acquire_deadline,
-            )
+            connection = await context.acquire(pool)
             if at_primary and not self._primary_service.may_use(
                 context.route.service, pool.entry.target_id
             ):
@@ -206,13 +204,11 @@
             after = None
             if is_read_only:
                 pool, after = await self._chooser.choose_read_target(context, failed)
-                connection = await pool.acquire(
-                    context.team,
-                    priority=context.route.priority,
-                    deadline=context.acquire_deadline,
-                )
+                connection = await context.acquire(pool, in_transaction=True)
             else:
-                pool, connection = await self._chooser.acquire_primary(context)
+                pool, connection = await self._chooser.acquire_primary(
+                    context, in_transaction=True
+                )
             target_id = pool.entry.target_id
             service = context.route.service
             if after is None and not self._primary_service.may_use(service, target_id):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
@@ -8,6 +8,8 @@
 from guavabarrow_daemon.operations.clock import now_s
 
 if TYPE_CHECKING:
+    from twisted.internet.defer import Deferred
+
     from guavabarrow_core.log_position import LogPosition
     from guavabarrow_core.session_configuration import Route
     from guavabarrow_core.session_values import SessionValues
@@ -65,6 +67,18 @@
         """Time until the deadline, in s."""
         return self.deadline - now_s()
 
+    def acquire(
+        self, pool: SessionPool, *, in_transaction: bool = False
+    ) -> Deferred[SessionConnection]:
+        """Acquire a connection for the statement, or for its whole transaction."""
+        return pool.acquire(
+            self.team,
+            priority=self.route.priority,
+            deadline=self.acquire_deadline,
+            objective_s=self.route.objective_s,
+            in_transaction=in_transaction,
+        )
+
 
 @dataclass(slots=True)
 class OpenTransaction:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
@@ -9,6 +9,7 @@
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.session_configuration import Consistency
 from guavabarrow_core.session_messages import FailureCode
+from guavabarrow_core.statement_queue import longest_wait_s, may_retry_elsewhere
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -106,8 +107,31 @@
             raise SessionError(FailureCode.OVERLOADED, "All targets failed.")
         return self._directory.pool(entry), None
 
+    def may_retry(self, context: StatementContext, failed: set[str]) -> bool:
+        """Return whether a read that failed at some targets is worth another attempt.
+
+        It is not if all others are known to be full. Only a host knows.
+        """
+        pools = [
+            self._directory.pool(entry)
+            for entry in self._directory.usable_targets(context.route.service)
+            if entry.target_id not in failed
+        ]
+        if not pools or not all(pool.is_host for pool in pools):
+            return True
+        return may_retry_elsewhere(
+            (
+                pool.expected_wait_s(context.team, context.route.priority)
+                for pool in pools
+            ),
+            may_wait_s=longest_wait_s(
+                context.acquire_deadline - now_s(), context.route.objective_s
+            ),
+            remaining_s=context.remaining_s,
+        )
+
     async def acquire_primary(
-        self, context: StatementContext
+        self, context: StatementContext, *, in_transaction: bool = False
     ) -> tuple[SessionPool, SessionConnection]:
         """Acquire a connection to the primary and check that it may still be used.
 
@@ -121,11 +145,7 @@
             entry = await self._await_primary(context)
             pool = self._directory.pool(entry)
             try:
-                connection = await pool.acquire(
-                    context.team,
-                    priority=context.route.priority,
-                    deadline=context.acquire_deadline,
-                )
+                connection = await context.acquire(pool, in_transaction=in_transaction)
             except SessionError:
                 if self._primary_service.may_use(service, entry.target_id):
                     raise
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -41,6 +41,30 @@
         self.handshakes = self._counter(
             "handshakes", "Connections to targets by result", "result"
         )
+        self.pool_refusals = self._counter(
+            "pool_refusals",
+            "Statements refused before they were sent to a target",
+            "service",
+            "priority",
+            "reason",
+        )
+        self.pool_evictions = self._counter(
+            "pool_evictions", "Idle connections closed for another team", "service"
+        )
+        self.pool_connections = self._gauge(
+            "pool_connections",
+            "Connections to a target by state, and how many may be open",
+            "service",
+            "target",
+            "state",
+        )
+        self.pool_waiting = self._gauge(
+            "pool_waiting",
+            "Statements that wait for a connection to a target",
+            "service",
+            "target",
+            "priority",
+        )
         self.store_calls = self._counter(
             "store_calls", "Calls of the store by result", "call", "result"
         )
@@ -73,3 +97,6 @@
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"guavabarrow_{name}", text, labels, registry=self.registry)
+
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        return Gauge(f"guavabarrow_{name}", text, labels, registry=self.registry)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
@@ -4,31 +4,59 @@
 the target's connection limit: each VM may open its fair share without coordination and
 more while the target accepts it. Connections above the fair share are closed after a
 short idle time.
+
+If one VM of each failure domain runs the statements of a service, its host, the pool of
+a host sees the statements of all VMs of its domain. There it keeps idle connections for
+longer, opens one only if none of the team will be free soon, and refuses statements
+that would wait for too long; see ``statement_queue`` and ``connection_budget``.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import Counter
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
 
+from guavabarrow_core.connection_budget import (
+    ConnectionBudget,
+    PoolLimits,
+)
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.send_window import SendWindow
 from guavabarrow_core.session_messages import FailureCode, OpenSession
+from guavabarrow_core.statement_queue import (
+    QueuedStatement,
+    RefusalReason,
+    StatementQueue,
+)
 from guavabarrow_core.target_load import TargetLoad
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
+from guavabarrow_daemon.targets.connection_set import ConnectionSet
 from guavabarrow_daemon.targets.interface import (
     TargetConnectionBroken,
     TargetRefused,
     TargetUnreachable,
 )
+from guavabarrow_daemon.targets.pool_serving import (
+    INITIAL_WINDOW,
+    MAX_WAITERS,
+    MAX_WINDOW,
+    HostServing,
+    OwnServing,
+    ServingPolicy,
+)
+from guavabarrow_daemon.targets.pool_view import (
+    PoolView,
+    describe_pool,
+    summarize_pool,
+)
 from guavabarrow_daemon.targets.session_connection import idle_s
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Container
 
     from guavabarrow_core.target_directory import TargetEntry
     from guavabarrow_daemon.targets.interface import TargetDriver
@@ -38,56 +66,10 @@
 """Pause after the target refused a session at its connection limit; about as long as
 a few statements take."""
 
-EXCESS_IDLE_TIMEOUT_S = 0.3
-"""Idle time after which a connection above the fair share is closed."""
-
-IDLE_TIMEOUT_S = 0.4
-"""Idle time after which any connection is closed. The connections of a machine that
-loses power count against the target's limit for seconds, so VMs keep few of them."""
-
 UNREACHABLE_BACKOFF_S = 0.25
 """Pause between attempts to connect to an unreachable target; meanwhile, requests for a
 connection are refused at once."""
 
-MAX_CONCURRENT_HANDSHAKES = 1
-"""Handshakes of one VM with a target at a time. Each occupies a slot of the target, and
-many at once leave none for statements."""
-
-MAX_WAITERS = 40
-"""Maximum number of statements that wait for a connection to one target."""
-
-INITIAL_WINDOW = 3.0
-MAX_WINDOW = 8.0
-
-
-@dataclass(slots=True)
-class Waiter:
-    """A statement that waits for a connection.
-
-    Parameters
-    ----------
-    team : str
-        Team that it runs for.
-    priority : int
-        Lower values are served first.
-    start_tag : float
-        Virtual start time for fair queueing between teams; see
-        ``guavabarrow_core.fair_queue``.
-    order : int
-        Arrival number, which breaks ties.
-    deadline : float
-        Local time after which the statement is refused, in s.
-    result : Deferred
-        Fires with the connection.
-    """
-
-    team: str
-    priority: int
-    start_tag: float
-    order: int
-    deadline: float
-    result: Deferred[SessionConnection]
-
 
 class SessionPool:
     """Connection pool of one target.
@@ -105,6 +87,15 @@
         ``lost``.
     count_handshake : callable
         Called with the result of each handshake.
+    count_refusal : callable
+        Called with the priority of each refused statement and the reason.
+    count_eviction : callable
+        Called when an idle connection is closed for another team.
+
+    Attributes
+    ----------
+    weight_of : callable
+        Returns the weight of a team relative to other teams, used at a host.
     """
 
     def __init__(
@@ -115,37 +106,65 @@
         *,
         on_evidence: Callable[[str, str], None],
         count_handshake: Callable[[str], None],
+        count_refusal: Callable[[int, str], None] = lambda priority, reason: None,
+        count_eviction: Callable[[], None] = lambda: None,
     ) -> None:
         self.entry = entry
         self.load = TargetLoad()
         self.window = SendWindow(MAX_WINDOW, INITIAL_WINDOW)
-        self._running_count = 0
-        self.fair_share = 1
-        self.connection_limit = 4
-        self.connections: set[SessionConnection] = set()
+        self.budget = ConnectionBudget(PoolLimits(1, 4))
+        self.weight_of: Callable[[str], float] = lambda team: 1.0
+        self.running_count = 0
         self._driver = driver
         self._reactor = reactor
         self._on_evidence = on_evidence
         self._count_handshake = count_handshake
-        self._idle: list[SessionConnection] = []
-        self._waiters: list[Waiter] = []
-        self._opening_count = 0
-        self._order = 0
-        self._virtual_time = 0.0
-        self._finish_tag_by_team: dict[str, float] = {}
-        self._full_until = 0.0
+        self._count_refusal = count_refusal
+        self.count_eviction = count_eviction
+        self.held = ConnectionSet()
+        self.waiters: StatementQueue[Deferred[SessionConnection]] = StatementQueue(
+            MAX_WAITERS
+        )
+        self.opening_count = 0
+        self.full_until = 0.0
         self._unreachable_at: float | None = None
-        self._is_closed = False
+        self._checked_at = 0.0
+        self.is_closed = False
+        self.refused: dict[int, Counter[str]] = {}
+        self.opened = 0
+        self.evicted = 0
+        self._serving: ServingPolicy = OwnServing(self)
+
+    @property
+    def connections(self) -> set[SessionConnection]:
+        """Open connections."""
+        return self.held.all
 
     @property
     def open_count(self) -> int:
         """Connections that are open or being opened."""
-        return len(self.connections) + self._opening_count
+        return len(self.connections) + self.opening_count
 
     @property
     def waiting(self) -> int:
         """Statements that wait for a connection."""
-        return len(self._waiters)
+        return len(self.waiters)
+
+    @property
+    def is_host(self) -> bool:
+        """Whether this VM runs the statements of its whole failure domain."""
+        return self.budget.limits.is_host
+
+    def set_limits(self, limits: PoolLimits) -> None:
+        """Set the connection limits, and the queue and window that suit the role."""
+        if limits.is_host != self.is_host:
+            serving_class = HostServing if limits.is_host else OwnServing
+            self._serving = serving_class(self)
+        self.budget.limits = limits
+
+    def describe(self) -> PoolView:
+        """Return the state of the pool for display."""
+        return describe_pool(self, now_s())
 
     def answered_recently(self, now: float) -> bool:
         """Return whether the target answered within the last second."""
@@ -154,26 +173,43 @@
     @property
     def wait_s(self) -> float:
         """Expected wait of a statement that requests a connection now, in s."""
-        ahead = len(self._waiters)
-        if not ahead and self.window.allows(self._running_count):
+        ahead = len(self.waiters)
+        if not ahead and self.window.allows(self.running_count):
             return 0.0
         return self.window.wait_s(ahead + 1, self.load.response_s)
 
+    def expected_wait_s(self, team: str, priority: int) -> float:
+        """Return the expected wait of a statement, in s."""
+        return self._serving.expected_wait_s(team, priority)
+
+    @property
+    def interval_s(self) -> float:
+        """Expected interval between two statements that the target serves, in s."""
+        return self.window.wait_s(1, self.load.response_s)
+
     def begin_statement(self) -> None:
         """Increment the number of running statements."""
-        self._running_count += 1
+        self.running_count += 1
 
     def end_statement(self) -> None:
         """Decrement the number of running statements after an answer or a failure."""
-        self._running_count -= 1
-        self._serve_waiters()
+        self.running_count -= 1
+        if self.is_host:
+            self._serving.refuse_late()
+        self.serve_waiters()
 
     def has_idle(self, team: str) -> bool:
         """Return whether an idle connection of a team exists."""
-        return any(connection.team == team for connection in self._idle)
+        return self.held.has_idle(team)
 
     def acquire(
-        self, team: str, *, priority: int, deadline: float
+        self,
+        team: str,
+        *,
+        priority: int,
+        deadline: float,
+        objective_s: float = float("inf"),
+        in_transaction: bool = False,
     ) -> Deferred[SessionConnection]:
         """Acquire a connection for one statement or transaction.
 
@@ -185,6 +221,11 @@
             Lower values are served first.
         deadline : float
             Local time after which the request fails, in s.
+        objective_s : float
+            Latency objective, in s. A host refuses a statement that is expected to wait
+            for most of it.
+        in_transaction : bool
+            Whether the connection is held until a transaction ends.
 
         Returns
         -------
@@ -192,151 +233,150 @@
             Fails with :class:`SessionError`.
         """
         result: Deferred[SessionConnection] = Deferred(self._on_cancel)
-        if self._is_closed:
-            result.errback(_unavailable("The connection pool of the target is closed."))
-            return result
-        if self._is_unreachable():
-            detail = f"The target is unreachable: {self._describe_state()}."
-            result.errback(
-                SessionError(
-                    FailureCode.OVERLOADED, detail, retry_after_s=UNREACHABLE_BACKOFF_S
-                )
-            )
-            return result
-        wait_s = self.wait_s
-        if len(self._waiters) >= MAX_WAITERS or now_s() + wait_s > deadline:
-            result.errback(
-                SessionError(
-                    FailureCode.OVERLOADED,
-                    f"Expected wait of {wait_s:.2f} s: {self._describe_state()}.",
-                    retry_after_s=wait_s,
-                )
-            )
-            return result
-        self._order += 1
-        start_tag = max(self._virtual_time, self._finish_tag_by_team.get(team, 0.0))
-        self._finish_tag_by_team[team] = start_tag + 1.0
-        self._waiters.append(
-            Waiter(team, priority, start_tag, self._order, deadline, result)
+        item = QueuedStatement(
+            result, team, priority, deadline, in_transaction=in_transaction
         )
-        self._waiters.sort(key=lambda w: (w.priority, w.start_tag, w.order))
-        self._serve_waiters()
+        target = RefusalReason.TARGET
+        if self.is_closed:
+            self.fail([item], target, "The connection pool of the target is closed.")
+        elif self._is_unreachable():
+            detail = f"The target is unreachable: {summarize_pool(self)}."
+            self.fail([item], target, detail, UNREACHABLE_BACKOFF_S)
+        else:
+            self._serving.enter(item, objective_s)
         return result
 
     def release(self, connection: SessionConnection) -> None:
         """Return a connection to the pool after its last answer."""
+        self.held.in_transaction.discard(connection)
         if not connection.is_open:
-            self._serve_waiters()
+            self.serve_waiters()
             return
-        if self._is_closed or connection.has_pending:
+        if self.is_closed or connection.has_pending:
             connection.abort()
             return
-        connection.idle_since = now_s()
-        self._idle.append(connection)
-        self._serve_waiters()
+        self.held.add_idle(connection, now_s())
+        self.serve_waiters()
 
     def trim(self) -> None:
         """Close connections that were idle for too long and fail expired waiters."""
-        now = now_s()
-        for connection in list(self._idle):
-            is_excess = self.open_count > self.fair_share
-            timeout_s = EXCESS_IDLE_TIMEOUT_S if is_excess else IDLE_TIMEOUT_S
-            if idle_s(connection) > timeout_s:
-                self._discard(connection)
-        for waiter in list(self._waiters):
-            if now >= waiter.deadline:
-                self._waiters.remove(waiter)
-                waiter.result.errback(
-                    _unavailable(
-                        f"No connection became free: {self._describe_state()}."
-                    )
-                )
-        self._serve_waiters()
+        idle = list(self.held.idle)
+        for index, connection in enumerate(idle):
+            rank = len(idle) - 1 - index
+            if idle_s(connection) > self.budget.idle_timeout_s(rank, self.open_count):
+                self.held.discard(connection)
+        self._serving.refuse_late()
+        self.serve_waiters()
 
     def abort_all(self, reason: str) -> None:
         """Abort all connections and fail all waiters."""
-        waiters, self._waiters = self._waiters, []
         for connection in list(self.connections):
             connection.abort()
-        self._idle.clear()
-        for waiter in waiters:
-            waiter.result.errback(_unavailable(reason))
+        self.held.idle.clear()
+        self._fail_waiters(reason)
 
     def close(self, reason: str) -> None:
         """Abort all connections and refuse further requests."""
-        self._is_closed = True
+        self.is_closed = True
         self.abort_all(reason)
 
+    def refuse(
+        self, item: QueuedStatement[Any], reason: RefusalReason, retry_after_s: float
+    ) -> None:
+        """Refuse a statement that isn't in the queue, or no longer.
+
+        Parameters
+        ----------
+        item : QueuedStatement
+            The statement.
+        reason : RefusalReason
+            The reason.
+        retry_after_s : float
+            Time after which its caller should try again, in s.
+        """
+        wait_s = self.expected_wait_s(item.team, item.priority)
+        detail = f"Expected wait of {wait_s:.2f} s ({reason.value})"
+        self.fail([item], reason, f"{detail}: {summarize_pool(self)}.", retry_after_s)
+
+    def fail(
+        self,
+        items: list[QueuedStatement[Any]],
+        reason: RefusalReason,
+        detail: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Fail statements that aren't in the queue, or no longer, as not run."""
+        for item in items:
+            self.refused.setdefault(item.priority, Counter())[reason.value] += 1
+            self._count_refusal(item.priority, reason.value)
+            item.value.errback(
+                SessionError(
+                    FailureCode.OVERLOADED, detail, retry_after_s=retry_after_s
+                )
+            )
+
     def _is_unreachable(self) -> bool:
         if self._unreachable_at is None or self.connections:
             return False
         is_recent = now_s() - self._unreachable_at < UNREACHABLE_BACKOFF_S
-        return is_recent or self._opening_count > 0
-
-    def _describe_state(self) -> str:
-        return (
-            f"target={self.entry.target_id} open={len(self.connections)} "
-            f"opening={self._opening_count} idle={len(self._idle)} "
-            f"waiting={len(self._waiters)} "
-            f"limit={self.fair_share}-{self.connection_limit}"
-        )
+        return is_recent or self.opening_count > 0
 
-    def _serve_waiters(self) -> None:
-        while self._waiters and not self._is_closed:
-            if not self.window.allows(self._running_count):
-                return
-            waiter = next((w for w in self._waiters if self.has_idle(w.team)), None)
-            connection = None if waiter is None else self._pop_idle(waiter.team)
-            if waiter is not None and connection is not None:
-                self._waiters.remove(waiter)
-                self._virtual_time = max(self._virtual_time, waiter.start_tag)
-                if not self._waiters:
-                    self._finish_tag_by_team.clear()
-                waiter.result.callback(connection)
-                continue
-            if self._opening_count >= min(
-                MAX_CONCURRENT_HANDSHAKES, len(self._waiters)
-            ):
-                return
-            if not self._ensure_capacity():
-                return
-            self._opening_count += 1
-            Deferred.fromCoroutine(self._open(self._waiters[0].team))
-
-    def _pop_idle(self, team: str) -> SessionConnection | None:
-        for connection in reversed(self._idle):
-            if connection.team == team:
-                self._idle.remove(connection)
-                if connection.is_open:
-                    return connection
-        return None
-
-    def _ensure_capacity(self) -> bool:
-        now = now_s()
-        limit = self.fair_share if now < self._full_until else self.connection_limit
+    def serve_waiters(self) -> None:
+        """Serve waiting statements while there is room."""
+        while self.waiters and not self.is_closed and self._serving.serve_next():
+            pass
+
+    def hand_over(
+        self, item: QueuedStatement[Any], connection: SessionConnection
+    ) -> None:
+        """Serve a waiting statement with a connection."""
+        self.waiters.take(item, now_s())
+        if item.in_transaction:
+            self.held.in_transaction.add(connection)
+        item.value.callback(connection)
+
+    def start_opening(self, team: str) -> None:
+        """Open a connection for a team."""
+        self.opening_count += 1
+        Deferred.fromCoroutine(self._open(team))
+
+    def make_room(self, limit: int, kept_teams: Container[str]) -> bool:
+        """Make room for one more connection, closing an idle one if need be.
+
+        Parameters
+        ----------
+        limit : int
+            Connections that may be open or being opened.
+        kept_teams : container of str
+            Teams whose idle connections are not closed.
+
+        Returns
+        -------
+        bool
+            Whether there is room.
+        """
         if self.open_count < limit:
             return True
-        waiting_teams = {waiter.team for waiter in self._waiters}
-        closable = [c for c in self._idle if c.team not in waiting_teams] or self._idle
-        if not closable:
+        connection = self.held.least_recently_used(kept_teams)
+        if connection is None:
             return False
-        self._discard(min(closable, key=lambda c: c.idle_since))
+        self.held.discard(connection)
+        self.evicted += 1
+        self.count_eviction()
         return True
 
-    def _discard(self, connection: SessionConnection) -> None:
-        self._idle.remove(connection)
-        self.connections.discard(connection)
-        connection.close()
-
     async def _open(self, team: str) -> None:
         open_message = OpenSession(self.entry.service, team, self.entry.target_id)
         connection = None
         evidence = "answered"
+        self.held.opening_by_team[team] += 1
         try:
             connection = await self._driver.connect(
                 self.entry.host, self.entry.port, open_message
             )
             self._count_handshake("opened")
+            self.opened += 1
+            self.budget.on_opened()
             self._unreachable_at = None
         except TargetRefused as error:
             self._count_handshake(error.code)
@@ -351,7 +391,8 @@
             self._count_handshake(evidence)
             self._on_unreachable(str(error), evidence)
         finally:
-            self._opening_count -= 1
+            self.opening_count -= 1
+            self.held.opening_by_team[team] -= 1
         if evidence:
             self._on_evidence(self.entry.target_id, evidence)
         if connection is None or not connection.is_open:
@@ -364,7 +405,8 @@
     def _on_refused(self, code: str) -> None:
         now = now_s()
         if code == FailureCode.TOO_MANY_CONNECTIONS.value:
-            self._full_until = now + FULL_BACKOFF_S
+            self.full_until = now + FULL_BACKOFF_S
+            self.budget.on_full(len(self.connections), now)
             return
         log_decision(
             "target_refused_session",
@@ -389,26 +431,21 @@
             self._fail_waiters("The target cannot be reached.")
 
     def _fail_waiters(self, detail: str) -> None:
-        waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            waiter.result.errback(_unavailable(detail))
+        self.fail(self.waiters.clear(), RefusalReason.TARGET, detail)
 
     def _schedule_serve(self) -> None:
-        if self._waiters:
-            self._reactor.callLater(FULL_BACKOFF_S, self._serve_waiters)
+        if self.waiters:
+            delay_s = FULL_BACKOFF_S
+            if self.budget.limits.is_hosted:
+                delay_s = max(delay_s, self.budget.retry_s(now_s()))
+            self._reactor.callLater(delay_s, self.serve_waiters)
 
     def _on_lost(self, connection: SessionConnection) -> None:
-        was_idle = connection in self._idle
-        if was_idle:
-            self._idle.remove(connection)
-        if connection in self.connections:
-            self.connections.discard(connection)
+        if self.held.remove_lost(connection):
             self._on_evidence(self.entry.target_id, "lost")
-        self._serve_waiters()
+        self.serve_waiters()
 
     def _on_cancel(self, result: Deferred[SessionConnection]) -> None:
-        self._waiters = [w for w in self._waiters if w.result is not result]
-
-
-def _unavailable(detail: str) -> SessionError:
-    return SessionError(FailureCode.OVERLOADED, detail)
+        item = self.waiters.find(result)
+        if item is not None:
+            self.waiters.discard(item)
--- a/packages/guavabarrow-daemon/tests/test_session_pool.py
+++ b/packages/guavabarrow-daemon/tests/test_session_pool.py
@@ -5,9 +5,11 @@
 import pytest
 from twisted.internet.task import Clock
 
+from guavabarrow_core import connection_budget
+from guavabarrow_core.connection_budget import PoolLimits
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.target_directory import TargetEntry
-from guavabarrow_daemon.targets import session_pool
+from guavabarrow_daemon.targets import pool_serving, session_pool
 from guavabarrow_daemon.targets.session_pool import SessionPool
 
 ENTRY = TargetEntry("t1", "orders", "north", "10.0.0.1", 80, False, True)
@@ -40,7 +42,7 @@
             on_evidence=lambda target_id, evidence: None,
             count_handshake=lambda result: None,
         )
-        self.fair_share, self.connection_limit = 2, 3
+        self.set_limits(PoolLimits(2, 3))
         self.handshakes: list[str] = []
 
     async def _open(self, team: str) -> None:
@@ -48,12 +50,17 @@
 
     def complete(self) -> FakeConnection:
         connection = FakeConnection(self.handshakes[-1])
-        self._opening_count -= 1
+        self.opening_count -= 1
         self.connections.add(connection)
         self.release(connection)
         return connection
 
 
+def set_clock(monkeypatch, now_s) -> None:
+    for module in (session_pool, pool_serving):
+        monkeypatch.setattr(module, "now_s", now_s)
+
+
 def request_connection(pool: ManualPool, team: str, priority: int = 1):
     results: list = []
     pool.acquire(team, priority=priority, deadline=DEADLINE).addBoth(results.append)
@@ -119,10 +126,10 @@
 def test_requests_for_an_unreachable_target_fail_at_once(monkeypatch):
     """Under load, each caller of an isolated target waited for its own attempt."""
     now = [100.0]
-    monkeypatch.setattr(session_pool, "now_s", lambda: now[0])
+    set_clock(monkeypatch, lambda: now[0])
     pool = ManualPool()
     first = request_connection(pool, "a")
-    pool._opening_count -= 1
+    pool.opening_count -= 1
     pool._on_unreachable("no answer", "silent")
     assert isinstance(first[0].value, SessionError)
     refused = request_connection(pool, "a")
@@ -134,7 +141,7 @@
 
 
 def test_request_is_refused_if_its_expected_wait_exceeds_the_deadline(monkeypatch):
-    monkeypatch.setattr(session_pool, "now_s", lambda: 100.0)
+    set_clock(monkeypatch, lambda: 100.0)
     pool = ManualPool()
     pool.load.response_s = 2.0
     for _ in range(3):
@@ -148,7 +155,7 @@
 @pytest.mark.parametrize("idle_s", [0.2, 1.0])
 def test_idle_connections_are_closed_after_the_timeout(monkeypatch, idle_s):
     now = [100.0]
-    monkeypatch.setattr(session_pool, "now_s", lambda: now[0])
+    set_clock(monkeypatch, lambda: now[0])
     monkeypatch.setattr(session_pool, "idle_s", lambda c: now[0] - c.idle_since)
     pool = ManualPool()
     request_connection(pool, "a")
@@ -156,16 +163,16 @@
     pool.release(connection)
     now[0] += idle_s
     pool.trim()
-    assert connection.is_open is (idle_s < session_pool.IDLE_TIMEOUT_S)
+    assert connection.is_open is (idle_s < connection_budget.IDLE_TIMEOUT_S)
 
 
 def test_team_with_many_statements_does_not_starve_another():
     """One team sends five statements before another sends its first."""
     pool = ManualPool()
-    pool.connection_limit = 1
+    pool.set_limits(PoolLimits(2, 1))
     many = [request_connection(pool, "many") for _ in range(5)]
     connection = pool.complete()
     assert many[0] == [connection]
     request_connection(pool, "few")
     request_connection(pool, "many")
-    assert [waiter.team for waiter in pool._waiters][:2] == ["few", "many"]
+    assert [waiter.team for waiter in pool.waiters][:2] == ["few", "many"]
