--- a/packages/guavabarrow-core/src/guavabarrow_core/service_host.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/service_host.py
@@ -57,7 +57,29 @@
 most a few ms in this time."""
 
 
+@dataclass(frozen=True, slots=True)
 class HostPlan:
+    """Role of this VM for one service.
+
+    Parameters
+    ----------
+    is_hosted : bool
+        Whether one VM of each failure domain runs the statements of the service.
+    is_host : bool
+        Whether this VM runs statements for others of its domain.
+    host_count : int
+        Number of hosts that connect to the targets of the service, at least 1.
+    """
+
+    is_hosted: bool = False
+    is_host: bool = False
+    host_count: int = 1
+
+
+NOT_HOSTED = HostPlan()
+
+
+class HostSelection:
     """Which services are hosted, and by which VM of a failure domain.
 
     Parameters
@@ -76,7 +98,7 @@
 
     Examples
     --------
-    >>> plan = HostPlan("a", "north", lambda vm: True)
+    >>> plan = HostSelection("a", "north", lambda vm: True)
     >>> plan.is_hosted("orders"), plan.host_count("orders")
     (False, 0)
     """
@@ -162,6 +184,12 @@
         ranking = self.ranking(service)
         return self._vm in ranking and self.select(service) == self._vm
 
+    def plan(self, service: str) -> HostPlan:
+        """Return the role of this VM for a service."""
+        if service not in self._hosted:
+            return NOT_HOSTED
+        return HostPlan(True, self.is_host(service), max(1, self.host_count(service)))
+
     def host_count(self, service: str) -> int:
         """Return the number of hosts: one per failure domain with a candidate."""
         if service not in self._hosted:
--- a/packages/guavabarrow-core/tests/test_service_host.py
+++ b/packages/guavabarrow-core/tests/test_service_host.py
@@ -14,7 +14,7 @@
     PING_TIMEOUT_S,
     SILENCE_S,
     HostCheck,
-    HostPlan,
+    HostSelection,
     HostWatch,
     MessageDelay,
 )
@@ -23,7 +23,7 @@
 SERVICES = tuple(f"service-{number}" for number in range(40))
 
 
-def plan_for(vm: str, per_domain: int, connections: int, away=()) -> HostPlan:
+def plan_for(vm: str, per_domain: int, connections: int, away=()) -> HostSelection:
     """Return the plan of a VM in three domains, each with two large VMs."""
     members = {
         name: MemberRow(name, domain, "h", 1, "i", cpu_cores=2.0 if number < 2 else 0.5)
@@ -31,7 +31,7 @@
         for number in range(per_domain)
         if (name := f"{domain}-{number:02}")
     }
-    plan = HostPlan(vm, vm.split("-")[0], lambda name: name not in away)
+    plan = HostSelection(vm, vm.split("-")[0], lambda name: name not in away)
     plan.set_members(members, hubs_by_domain(members))
     plan.configure({name: ServiceLimits(connections) for name in SERVICES})
     return plan
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -17,7 +17,7 @@
     member_key,
 )
 from guavabarrow_core.peer_topology import hubs_by_domain, peers_to_link
-from guavabarrow_core.service_host import HostPlan
+from guavabarrow_core.service_host import HostSelection
 from guavabarrow_core.store_clock import StoreClock
 from guavabarrow_daemon.fleet.fleet_messages import (
     UNKNOWN_AGE_S,
@@ -134,7 +134,7 @@
         Called with the draft of each heartbeat to add fields.
     hubs_by_domain : dict of str to tuple of str
         Hubs of each failure domain.
-    host_plan : HostPlan
+    host_selection : HostSelection
         Which services are hosted, and where.
     is_leaving : bool
         Whether this VM stops as planned.
@@ -175,7 +175,7 @@
         self.stale_at = float("-inf")
         self.is_stopping = False
         self.is_leaving = False
-        self.host_plan = HostPlan(settings.vm, settings.domain, self._can_host)
+        self.host_selection = HostSelection(settings.vm, settings.domain, self._can_host)
         self._settings = settings
         self._table = table
         self._orders = orders
@@ -403,7 +403,7 @@
         members = self.state.member_by_vm()
         duty = self.state.duty()
         self.hubs_by_domain = hubs_by_domain(members)
-        self.host_plan.set_members(members, self.hubs_by_domain)
+        self.host_selection.set_members(members, self.hubs_by_domain)
         peers = peers_to_link(
             self._settings.vm,
             self.domain,
@@ -478,7 +478,7 @@
         active = self.configuration
         if configuration and (active is None or configuration.version > active.version):
             self.configuration = configuration
-            self.host_plan.configure(configuration.limits_by_service)
+            self.host_selection.configure(configuration.limits_by_service)
             log_decision(
                 "configuration_in_force",
                 version=configuration.version,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/service_hosts.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/service_hosts.py
@@ -70,7 +70,7 @@
     def host_of(self, service: str) -> str:
         """Return the other VM that runs a service's statements, empty if this one."""
         vm = self._fleet.state.vm
-        plan = self._fleet.host_plan
+        plan = self._fleet.host_selection
         if not plan.is_hosted(service):
             if service in self._host_by_service:
                 self._record_host(service, "")
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
@@ -132,7 +132,7 @@
         """Return where the statements of each configured service run, by service."""
         configuration = self._fleet.configuration
         services = configuration.limits_by_service if configuration else {}
-        plan = self._fleet.host_plan
+        plan = self._fleet.host_selection
         status_by_service = {}
         for service in services:
             origins = [
@@ -176,7 +176,7 @@
     def _record_served(self, service: str) -> None:
         self._metrics.hosted_statements.labels("served").inc()
         self._served_at_by_service[service] = now_s()
-        self._fleet.host_plan.acting.add(service)
+        self._fleet.host_selection.acting.add(service)
         if not self._check_loop.running:
             self._check_loop.start(CHECK_INTERVAL_S, now=False)
 
@@ -343,7 +343,7 @@
         for service, served_at in list(self._served_at_by_service.items()):
             if now - served_at > ACTING_S:
                 del self._served_at_by_service[service]
-                self._fleet.host_plan.acting.discard(service)
+                self._fleet.host_selection.acting.discard(service)
         if not self._served_at_by_service and not self.open_work:
             self._check_loop.stop()
 
