Give the pools the role of this VM for each service

Cause: the parts on service hosts and on capacity at a host were built apart. The selection of hosts now returns the role (HostPlan) that budgets and queues of the pools follow.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -82,7 +82,6 @@
         self.directory = TargetDirectory()
         self.pool_by_id: dict[str, SessionPool] = {}
         self.on_changed: list[Callable[[], None]] = []
-        self.host_plan_of: Callable[[str], HostPlan] = lambda service: HostPlan()
         self.create_codec = create_codec
         self._driver = SessionDriver(
             create_codec, reactor, open_timeout_s=OPEN_TIMEOUT_S
@@ -90,6 +89,7 @@
         self._source = source
         self._reactor = reactor
         self._fleet = kernel.find(FleetService)
+        self.host_plan_of: Callable[[str], HostPlan] = self._fleet.host_selection.plan
         self._links = kernel.find(PeerLinks)
         self._suspected: dict[str, tuple[str, float]] = {}
         self._last_entry_by_id: dict[str, TargetEntry] = {}
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -175,7 +175,9 @@
         self.stale_at = float("-inf")
         self.is_stopping = False
         self.is_leaving = False
-        self.host_selection = HostSelection(settings.vm, settings.domain, self._can_host)
+        self.host_selection = HostSelection(
+            settings.vm, settings.domain, self._can_host
+        )
         self._settings = settings
         self._table = table
         self._orders = orders
