Describe service hosts, and cover what the mutations found untested

Cause: of 40 edits to the new code six left all tests green; two of them were to code that another path made redundant.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/host_exchange.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/host_exchange.py
@@ -160,10 +160,12 @@
             pending.result.callback(message)
 
     def _on_peer_lost(self, vm: str) -> None:
-        # The host rolls its transactions back when it sees the link end.
+        """End the transactions at a host, which rolls them back when the link ends.
+
+        Pending statements fail by way of ``ServiceHosts.on_bypassed``.
+        """
         for transaction in self._transactions_by_host.pop(vm, set()):
             transaction.has_ended = True
-        self._fail_pending(vm, HostLossReason.LINK_LOST)
 
     def _fail_pending(self, vm: str, reason: HostLossReason) -> None:
         for pending in list(self._pending_by_number.values()):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/hosted_origin.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/hosted_origin.py
@@ -44,10 +44,12 @@
 class Origin:
     """A VM whose statements this VM runs, for as long as one link to it lasts.
 
+    A new incarnation of the VM has a new link, and so a new instance.
+
     Parameters
     ----------
-    vm, incarnation : str
-        The VM and its process.
+    vm : str
+        The VM.
     delay : MessageDelay
         Delay of its messages.
     running_by_service : Counter of str
@@ -59,7 +61,6 @@
     """
 
     vm: str
-    incarnation: str
     delay: MessageDelay = field(default_factory=MessageDelay)
     running_by_service: Counter[str] = field(default_factory=Counter)
     work_by_number: dict[int, HostedWork] = field(default_factory=dict)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
@@ -164,13 +164,9 @@
         Deferred.fromCoroutine(self._serve(origin, message))
 
     def _find_origin(self, vm: str) -> Origin:
-        incarnation = self._links.incarnation_of(vm)
         origin = self._origin_by_vm.get(vm)
-        if origin is not None and origin.incarnation != incarnation:
-            self._on_peer_lost(vm)
-            origin = None
         if origin is None:
-            origin = self._origin_by_vm[vm] = Origin(vm, incarnation)
+            origin = self._origin_by_vm[vm] = Origin(vm)
         return origin
 
     def _record_served(self, service: str) -> None:
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -230,4 +230,28 @@
         "orders.append((0.0, member.vm))",
         "test_peer_topology",
     ),
+    Mutation(
+        "service_host",
+        "// vm_count < MIN_SHARE",
+        "// vm_count < 0",
+        "test_service_host",
+    ),
+    Mutation(
+        "service_host",
+        " or self.heard_at <= self._bypassed_at",
+        "",
+        "test_service_host",
+    ),
+    Mutation(
+        "service_host",
+        "if now > self.due_at + LATE_CHECK_S:",
+        "if False:",
+        "test_service_host",
+    ),
+    Mutation(
+        "service_host",
+        "if self._is_available(vm) and not is_bypassed(vm):",
+        "if self._is_available(vm):",
+        "test_service_host",
+    ),
 )
