Roll a hosted transaction back after an internal error at its host

Cause: the caller's VM counted the transaction as ended while the host held its connection until the idle limit. Change: the host rolls back; a test that fails without it.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
@@ -194,6 +194,9 @@
                 request=message.request_id,
                 error=repr(error),
             )
+            work = origin.work_by_number.get(message.transaction)
+            if work is not None:
+                self._roll_back(origin, message.transaction, work)
             failure = SessionError(FailureCode.OUTCOME_UNKNOWN, "internal error")
             answer = encode_refusal(message.number, failure, context)
         finally:
--- a/packages/guavabarrow-daemon/tests/sim_hosts.py
+++ b/packages/guavabarrow-daemon/tests/sim_hosts.py
@@ -60,7 +60,7 @@
         Context of each statement.
     delay_s : float
         Time that each statement takes.
-    refusal : SessionError or None
+    refusal : Exception or None
         Raised instead of running statements.
     waits : bool
         Whether statements wait for a connection until their deadlines and are refused.
@@ -76,7 +76,7 @@
         self.shapes: list = []
         self.open_count = self.rolled_back = self.committed = 0
         self.delay_s = 0.01
-        self.refusal: SessionError | None = None
+        self.refusal: Exception | None = None
         self.waits = False
         self.row = "row"
 
--- a/packages/guavabarrow-daemon/tests/test_service_host_failures.py
+++ b/packages/guavabarrow-daemon/tests/test_service_host_failures.py
@@ -266,6 +266,17 @@
     assert fleet.find("east-3", PeerLinks).is_linked(host)
 
 
+def test_an_internal_error_frees_the_connection(fleet):
+    """Failure: a fault of the program at the host must not hold a transaction open."""
+    caller, router = fleet.caller(), fleet.router(fleet.host())
+    fleet.execute(caller, "BEGIN")
+    fleet.execute(caller, "WRITE a 1")
+    router.refusal = RuntimeError("a fault")
+    assert fleet.execute(caller, "WRITE a 2") == "outcome_unknown"
+    fleet.run(AT_ONCE_S)
+    assert (router.open_count, router.rolled_back) == (0, 1)
+
+
 def test_a_link_is_kept_while_a_transaction_uses_it(fleet):
     """Failure: a larger VM joins and the host is no hub any more."""
     host = fleet.host()
