--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -303,5 +303,27 @@
         "window = max(newest + 1, current - KEPT_WINDOWS + 1)",
         "window = max(newest + 1, current - 1)",
         "test_usage_report",
+        "service_host",
+        "// vm_count < MIN_SHARE",
+        "// vm_count < 0",
+        "test_service_host",
+    ),
+    Mutation(
+        "service_host",
+        " or self.heard_at <= self._bypassed_at",
+        "",
+        "test_service_host",
+    ),
+    Mutation(
+        "service_host",
+        "if now > self.due_at + LATE_CHECK_S:",
+        "if False:",
+        "test_service_host",
+    ),
+    Mutation(
+        "service_host",
+        "if self._is_available(vm) and not is_bypassed(vm):",
+        "if self._is_available(vm):",
+        "test_service_host",
     ),
 )
