--- a/packages/guavabarrow-core/src/guavabarrow_core/statement_queue.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/statement_queue.py
@@ -34,8 +34,9 @@
 rest is for the statement itself and the way to the caller. A longer queue would make
 every statement late without serving more of them."""
 
-INTERVAL_SMOOTHING = 0.1
-"""Weight of the newest interval between two served statements of a priority."""
+STRIDE_SMOOTHING = 0.03
+"""Weight of the newest distance between two served statements of a priority. With 0.1
+the number served per second of the least urgent route varied more under overload."""
 
 MAX_RETRY_AFTER_S = 2.0
 """Longest retry-after time, in s: the time budget of most callers."""
@@ -93,31 +94,21 @@
     ----------
     passed : int
         More urgent statements served since this priority was.
-    served_at : float or None
-        Local time of its last service, in s.
-    interval_s : float or None
-        Average interval between services, in s.
+    stride : float
+        Average number of statements served for one of this priority, since it began to
+        wait.
     next_retry_at : float
         Local time that the next refused caller is told, in s.
     """
 
     passed: int = 0
-    served_at: float | None = None
-    interval_s: float | None = None
+    stride: float = 1.0
     next_retry_at: float = float("-inf")
 
-    def record_service(self, now: float, *, still_waits: bool) -> None:
+    def record_service(self) -> None:
         """Record the service of one statement of this priority."""
+        self.stride += STRIDE_SMOOTHING * (self.passed + 1 - self.stride)
         self.passed = 0
-        if self.served_at is not None:
-            interval_s = now - self.served_at
-            previous_s = interval_s if self.interval_s is None else self.interval_s
-            self.interval_s = previous_s + INTERVAL_SMOOTHING * (
-                interval_s - previous_s
-            )
-        self.served_at = now if still_waits else None
-        if not still_waits:
-            self.interval_s = None
 
 
 @dataclass(slots=True)
@@ -200,15 +191,17 @@
         self._count_by_priority[item.priority] += 1
         return item
 
-    def take(self, item: QueuedStatement[T], now: float) -> None:
+    def take(self, item: QueuedStatement[T]) -> None:
         """Remove a statement that is served now."""
         self._remove(item)
         self._clock(item.priority).advance(item.start_tag)
         for priority, count in self._count_by_priority.items():
             if priority > item.priority and count:
                 self._state(priority).passed += 1
+        self._state(item.priority).record_service()
         still_waits = self._count_by_priority[item.priority] > 0
-        self._state(item.priority).record_service(now, still_waits=still_waits)
+        if not still_waits:
+            self._state(item.priority).stride = 1.0
         if not (still_waits if self.is_shared else self._waiting):
             self._clock(item.priority).finish_tag_by_team.clear()
 
@@ -320,18 +313,17 @@
         retry_at = max(soonest_at, state.next_retry_at)
         if retry_at > now + MAX_RETRY_AFTER_S:
             retry_at = soonest_at
-        state.next_retry_at = retry_at + max(interval_s, state.interval_s or 0.0)
+        state.next_retry_at = retry_at + state.stride * interval_s
         return retry_at - now
 
     def _wait_s(self, priority: int, ahead: int, same: int, interval_s: float) -> float:
         """Return how long serving some statements takes, in s.
 
         ``same`` of those ahead have the same priority. More urgent ones that arrive
-        later go first, so the interval at which the priority was recently served counts
-        if it is longer.
+        later go first, so the recent distance between two of the priority counts.
         """
-        own_interval_s = self._state(priority).interval_s or 0.0
-        return max(ahead * interval_s, same * own_interval_s)
+        stride = self._state(priority).stride
+        return max(ahead, same * stride) * interval_s
 
     def _due_priorities(self) -> set[int]:
         if not self.is_shared:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/connection_set.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/connection_set.py
@@ -66,7 +66,7 @@
         return is_known
 
     def least_recently_used(
-        self, waiting_teams: Container[str]
+        self, waiting_teams: Container[str], *, spare_first: bool = False
     ) -> SessionConnection | None:
         """Return the idle connection to close for another team, None if there is none.
 
@@ -74,8 +74,15 @@
         ----------
         waiting_teams : container of str
             Teams whose connections are kept.
+        spare_first : bool
+            Whether connections of teams that have several are closed before others, so
+            that more teams find one.
         """
         closable = [c for c in self.idle if c.team not in waiting_teams]
+        if spare_first:
+            count_by_team = Counter(connection.team for connection in self.all)
+            spare = [c for c in closable if count_by_team[c.team] > 1]
+            closable = spare or closable
         return min(closable, key=lambda c: c.idle_since, default=None)
 
     def expected_by_team(self, *, is_fast: bool) -> Counter[str]:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/pool_serving.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/pool_serving.py
@@ -37,9 +37,9 @@
 INITIAL_WINDOW = 3.0
 MAX_WINDOW = 8.0
 
-MAX_HOST_WINDOW = 6.0
-"""A host may use all slots of a target (4 to 6) alone. Three hosts send to it; when all
-have work, slow responses make each use less."""
+MAX_HOST_WINDOW = 3.0
+"""Three hosts send to a target of 4 to 6 slots. Larger windows keep a queue at the
+target, where the order by priority and team does not hold."""
 
 FREE_SOON_RESPONSE_S = 0.06
 """Response time up to which a host waits for a connection in use instead of opening
