--- a/packages/guavabarrow-daemon/tests/sim_usage.py
+++ b/packages/guavabarrow-daemon/tests/sim_usage.py
@@ -61,15 +61,15 @@
         Whether reports are accepted but their answers are lost.
     refused_windows : set of int
         Windows whose reports are refused.
-    before_answer : callable or None
-        Called with each report that has arrived.
+    on_connect : callable or None
+        Called with each holder that begins to connect.
     """
 
     def __init__(self) -> None:
         self.calls: list[UsageCall] = []
         self.drops_answers = False
         self.refused_windows: set[int] = set()
-        self.before_answer: Callable[[UsageCall], None] | None = None
+        self.on_connect: Callable[[str], None] | None = None
 
     def counts_by_window(self) -> dict[int, dict[str, int]]:
         """Return the reported counts, after checking that repeats are equal."""
@@ -104,6 +104,8 @@
         self, window, count_by_team, *, holder, fencing_token, may_send
     ) -> None:
         """Report a window."""
+        if self._platform.on_connect is not None:
+            self._platform.on_connect(holder)
         await deferLater(self._reactor, CONNECT_S, lambda: None)
         if not may_send():
             raise UsageReportWithdrawn("withdrawn")
@@ -111,8 +113,6 @@
         now = self._reactor.network.now
         call = UsageCall(now, holder, fencing_token, window, dict(count_by_team))
         platform.calls.append(call)
-        if platform.before_answer is not None:
-            platform.before_answer(call)
         if platform.drops_answers:
             await deferLater(self._reactor, LEASE_S, lambda: None)
             raise UsageReportUnanswered("no answer")
--- a/packages/guavabarrow-daemon/tests/test_usage_reports.py
+++ b/packages/guavabarrow-daemon/tests/test_usage_reports.py
@@ -167,6 +167,29 @@
     finish(fleet, first, off=0.4)
 
 
+def test_a_holder_frozen_between_store_and_call_sends_nothing(fleet):
+    """Guards against a call with an old token by a holder that is suspended while it
+    opens the connection, and resumes after its successor has reported."""
+    frozen = []
+
+    def freeze(holder: str) -> None:
+        if not frozen:
+            frozen.append(holder)
+            fleet.network.suspended.add(holder)
+
+    first = fleet.window
+    fleet.platform.on_connect = freeze
+    fleet.run_until(lambda: bool(frozen), 10.0)
+    fleet.run(9.0)
+    resumed_at = fleet.network.now
+    assert frozen[0] not in {c.holder for c in fleet.platform.calls if c.window > first}
+    fleet.network.suspended.clear()
+    fleet.run(1.0)
+    late = [c for c in fleet.platform.calls if c.at >= resumed_at]
+    assert frozen[0] not in {c.holder for c in late}
+    finish(fleet, first, off=0.4)
+
+
 def test_a_slow_platform_gets_the_same_report_again(fleet):
     """Guards against changed counts in a repeat after a time-out."""
     fleet.platform.drops_answers = True
