--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -303,6 +303,8 @@
         "window = max(newest + 1, current - KEPT_WINDOWS + 1)",
         "window = max(newest + 1, current - 1)",
         "test_usage_report",
+    ),
+    Mutation(
         "service_host",
         "// vm_count < MIN_SHARE",
         "// vm_count < 0",
