Learn the concurrency limit and the failures of each target

Cause: a fixed threshold of 120 ms takes a costly mix for a slow target, and each VM's window is found alone (docs/design/hard-load.md, part 3).

Change: limit by gradient with additive probing, baselines by class of statement, division among the hosts of a service, failure fractions with probes. Not wired into the daemon yet, and not tuned.

--- a/packages/guavabarrow-core/src/guavabarrow_core/send_window.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/send_window.py
@@ -9,7 +9,12 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from guavabarrow_core.target_pace import PaceSample
 
 INCREASE = 0.5
 """Additive increase per window of fast responses."""
@@ -27,9 +32,53 @@
 MIN_WINDOW = 1.0
 
 
+class ConcurrencyWindow(ABC):
+    """Limit on the statements that a VM runs concurrently at one target.
+
+    Attributes
+    ----------
+    size : float
+        Number of statements that may run concurrently.
+    """
+
+    __slots__ = ()
+
+    size: float
+
+    @abstractmethod
+    def allows(self, running: int) -> bool:
+        """Return whether a statement may be sent while ``running`` others run."""
+
+    @abstractmethod
+    def on_answer(self, response_s: float, sample: PaceSample | None = None) -> None:
+        """Adjust the window to a response time, in s.
+
+        Parameters
+        ----------
+        response_s : float
+            Time from sending the statement to its answer, in s.
+        sample : PaceSample or None
+            What was run and under which load; None if it isn't known.
+        """
+
+    @abstractmethod
+    def on_refused(self, now: float = 0.0) -> None:
+        """Shrink the window after a refusal because the target was full.
+
+        Parameters
+        ----------
+        now : float
+            Local time, in s.
+        """
+
+    @abstractmethod
+    def wait_s(self, waiting: int, response_s: float) -> float:
+        """Return the expected wait of a statement behind ``waiting`` others, in s."""
+
+
 @dataclass(slots=True)
-class SendWindow:
-    """Concurrency window of one target.
+class SendWindow(ConcurrencyWindow):
+    """Concurrency window of one target, from response times in s.
 
     Parameters
     ----------
@@ -53,14 +102,14 @@
         """Return whether a statement may be sent while ``running`` others run."""
         return running < max(MIN_WINDOW, int(self.size))
 
-    def on_answer(self, response_s: float) -> None:
+    def on_answer(self, response_s: float, sample: PaceSample | None = None) -> None:
         """Adjust the window to a response time, in s."""
         if response_s > SLOW_RESPONSE_S:
             self.size = max(MIN_WINDOW, self.size * SLOW_FACTOR)
         else:
             self.size = min(self.max_size, self.size + INCREASE / self.size)
 
-    def on_refused(self) -> None:
+    def on_refused(self, now: float = 0.0) -> None:
         """Shrink the window after a refusal because the target was full."""
         self.size = max(MIN_WINDOW, self.size * REFUSED_FACTOR)
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
@@ -14,6 +14,7 @@
     AdmissionQueue,
 )
 from guavabarrow_core.exceptions import SessionError
+from guavabarrow_core.heartbeat_delta import HeartbeatDelta
 from guavabarrow_core.pooled_rate_limiter import (
     AdmissionDecision,
     PeerPoolState,
@@ -44,9 +45,6 @@
 rates. It can't use targets any more: its lease on primaries has expired, and its data
 is older than any staleness bound that a read may state."""
 
-FULL_HEARTBEAT_EVERY = 8
-"""Every so many heartbeats contain the whole demand, in case changes were lost."""
-
 UNKNOWN_HOST = "?"
 """Pool host of a connected VM until its first heartbeat arrives."""
 
@@ -81,30 +79,16 @@
     detail: str = ""
 
 
-class DemandDelta:
+class DemandDelta(HeartbeatDelta[float]):
     """Computes the changes of a demand since the last heartbeat."""
 
     def __init__(self) -> None:
-        self._last_sent: dict[str, float] | None = None
-        self._sent_count = 0
-
-    def reset(self) -> None:
-        """Send the whole demand in the next heartbeat."""
-        self._last_sent = None
+        super().__init__(removed=0.0)
 
     def next_fields(self, demand_by_team: dict[str, float]) -> dict[str, Any]:
         """Return the heartbeat fields for a demand, and record it as sent."""
-        self._sent_count += 1
-        if self._sent_count % FULL_HEARTBEAT_EVERY == 0:
-            self._last_sent = None
-        last_sent, self._last_sent = self._last_sent, demand_by_team
-        previous = last_sent or {}
-        changed = {
-            team: demand_by_team.get(team, 0.0)
-            for team in {*demand_by_team, *previous}
-            if demand_by_team.get(team, 0.0) != previous.get(team)
-        }
-        return {"is_full": last_sent is None, "demand_by_team": changed}
+        is_full, changed = self.next_changes(demand_by_team)
+        return {"is_full": is_full, "demand_by_team": changed}
 
 
 class RateService(Service):
