Rank targets by class of work, divide their limits among hosts, probe failing ones

Change: TargetChooser.explain_read returns all candidates with verdicts and makes the choice; PaceService publishes digests between hubs; SessionPool uses the learned limit where the host plan says that the service is hosted, which is nowhere yet.

--- a/packages/guavabarrow-core/src/guavabarrow_core/pace_share.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/pace_share.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import ceil
 
 from guavabarrow_core.rendezvous import rank_members
 
@@ -21,6 +22,11 @@
 part at once."""
 
 
+FOLLOW_FRACTION = 0.5
+"""Part of the distance to the joint limit by which a host's own limit moves at each
+digest: hosts with few statements learn from the others."""
+
+
 @dataclass(frozen=True, slots=True)
 class PaceDigest:
     """What one host knows about one target.
@@ -89,7 +95,7 @@
     >>> sum(divide_limit(2.0, {"a": 1.0, "b": 1.0, "c": 1.0}, "t").values())
     3
     """
-    total = max(round(limit), len(demand_by_vm))
+    total = max(ceil(limit), len(demand_by_vm))
     weights = weights_of(demand_by_vm)
     part_by_vm = dict.fromkeys(weights, 1)
     order = rank_members(target_id, weights)
--- a/packages/guavabarrow-core/src/guavabarrow_core/paced_load.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/paced_load.py
@@ -105,8 +105,8 @@
         if waited_s >= FAIR_TIMEOUT_FACTOR * self.response_s:
             self.health.record(now, is_failure=True)
 
-    def record_failed_answer(self, now: float) -> None:
-        """Record that the target answered a statement with FAILED."""
+    def record_failed_answer(self, response_s: float, now: float) -> None:
+        """Record a failure; its response time tells nothing about the speed."""
         self.measured_at = now
         self.health.record(now, is_failure=True)
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/response_baseline.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/response_baseline.py
@@ -17,7 +17,7 @@
 count; the recent quotients are compared at the same quantile, so the spread of the
 response times cancels out."""
 
-MAX_LIGHT_SAMPLES = 32
+MAX_LIGHT_SAMPLES = 64
 MAX_LIGHT_AGE_S = 6.0
 """Samples without load that form the baseline: few enough to follow a target that
 became slower at any load within two seconds of steady use."""
@@ -29,6 +29,11 @@
 """Relative rise of a baseline in each second without samples that confirm it. Faster
 drift would take a lasting overload for the normal state."""
 
+SOUND_DRIFT_PER_S = 0.02
+"""Relative rise of the time of a sound target towards the baseline in each second: a
+target that is slow for a minute is tried again now and then, one that stays slow isn't.
+"""
+
 
 class WorkKind(Enum):
     """What a statement does at a target."""
@@ -76,10 +81,15 @@
     Parameters
     ----------
     baseline_s : float
-        Response time without load, in s; 0 until the first sample.
+        Recent response time without load, in s; 0 until the first sample.
+    sound_s : float
+        Lowest baseline of the last minute, in s: what to expect of a target that was
+        slow when it was last used.
     """
 
     baseline_s: float = 0.0
+    sound_s: float = 0.0
+    _drifted_at: float = 0.0
     _light: deque[tuple[float, float]] = field(default_factory=deque)
     _changed_at: float = 0.0
 
@@ -102,11 +112,21 @@
             if len(self._light) >= MIN_LIGHT_SAMPLES or not self.baseline_s:
                 self.baseline_s = low_quantile([value for _, value in self._light])
                 self._changed_at = now
+                self._follow_sound(now)
             return
         if response_s > self.baseline_s:
             self.baseline_s *= exp(DRIFT_PER_S * max(0.0, now - self._changed_at))
         self._changed_at = now
 
+    def _follow_sound(self, now: float) -> None:
+        elapsed_s = max(0.0, now - self._drifted_at)
+        self._drifted_at = now
+        if not self._is_settled or not self.sound_s:
+            self.sound_s = self.baseline_s
+        else:
+            drifted_s = self.sound_s * exp(SOUND_DRIFT_PER_S * elapsed_s)
+            self.sound_s = min(self.baseline_s, drifted_s)
+
     def rescale(self, factor: float) -> None:
         """Multiply the baseline, because the target's speed changed at any load."""
         self.baseline_s *= factor
--- a/packages/guavabarrow-core/src/guavabarrow_core/send_window.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/send_window.py
@@ -41,8 +41,6 @@
         Number of statements that may run concurrently.
     """
 
-    __slots__ = ()
-
     size: float
 
     @abstractmethod
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_load.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_load.py
@@ -67,8 +67,6 @@
         Local time of the last response, in s.
     """
 
-    __slots__ = ()
-
     response_s: float
     running: int
     measured_at: float
@@ -86,7 +84,7 @@
         """Record that no answer arrived within ``waited_s`` after sending."""
 
     @abstractmethod
-    def record_failed_answer(self, now: float) -> None:
+    def record_failed_answer(self, response_s: float, now: float) -> None:
         """Record that the target answered a statement with FAILED."""
 
     @abstractmethod
@@ -151,8 +149,9 @@
         """Record a time-out as a failure, however long the target had."""
         self.record_failure(now)
 
-    def record_failed_answer(self, now: float) -> None:
-        """Ignore it: only services with hosts avoid targets for their answers."""
+    def record_failed_answer(self, response_s: float, now: float) -> None:
+        """Record it as any response: only hosts avoid targets for their answers."""
+        self.record(response_s, now)
 
     def begin_probe(self, now: float) -> None:
         """Do nothing, because this target is never only probed."""
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
@@ -15,6 +15,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from math import exp, sqrt
 
 from guavabarrow_core.response_baseline import (
     ResponseBaseline,
@@ -28,11 +29,11 @@
 MIN_LIMIT = 1.0
 MAX_LIMIT = 64.0
 
-LIGHT_FRACTION = 0.4
+LIGHT_FRACTION = 0.6
 """Fraction of the limit up to which a statement counts as sent without load."""
 
-RECENT_S = 1.2
-MAX_RECENT_SAMPLES = 96
+RECENT_S = 1.6
+MAX_RECENT_SAMPLES = 128
 MIN_RECENT_SAMPLES = 10
 """Samples that are compared with the baseline: at a dozen to sixty statements a second
 these are enough for a quantile within two seconds, and one long statement doesn't move
@@ -42,38 +43,44 @@
 FAST_RATIO = 1.15
 """Ratio to the baseline below which the limit may grow."""
 
-SLOW_RATIO = 1.5
-"""Ratio above which it shrinks. The distance of both is several times the standard
-error of the ratio, so that the limit stays between them under steady load."""
+SLOW_RATIO = 1.3
+CHANCE = 1.8
+"""The limit shrinks above ``SLOW_RATIO * exp(CHANCE / sqrt(samples))``: nearly three
+standard errors of the low quantile of log-normal times, as at a dozen samples chance
+alone can give one and a half times the baseline. Under steady load the limit stays
+between both bounds."""
 
-LANDING_RATIO = 1.25
+LANDING_RATIO = 1.3
 """Ratio that a decrease aims at."""
 
 MAX_DECREASE = 0.7
 """Strongest change of the limit in one evaluation, and that after a refusal."""
 
 FIRST_STEP = 0.25
-MAX_STEP = 1.0
+MAX_STEP = 0.5
 """Steps of the growth, doubled while it goes on: small under steady load, but a limit
 that was halved is regained within two seconds."""
 
-FULL_FRACTION = 0.75
+FULL_FRACTION = 0.9
 """Fraction of the limit from which it counts as used."""
 
 MIN_FULL_FRACTION = 0.5
 """Fraction of the recent statements that must have been sent while the limit was used
 for it to grow: a limit that isn't reached can't be judged."""
 
-HELPED_RATIO = 0.85
-"""A smaller limit has helped if responses take at most this fraction of the time
-before. The limit shrinks by up to 0.7, and a queue with it."""
+TRIAL_FACTOR = 0.6
+HELPED_RATIO = 0.8
+"""A limit that shrank to ``TRIAL_FACTOR`` has helped if answers then take at most
+``HELPED_RATIO`` of the time before. A queue at the target shrinks with the limit; a
+target that is slow at any load answers as before."""
 
-FASTER_RATIO = 0.75
-"""Ratio to the baseline at which the target has become faster at any load."""
+FASTER_RATIO = 0.85
+"""Ratio to the baseline below which, less the same allowance for chance, the target has
+become faster at any load."""
 
 SLOWDOWN_DECAY_S = 1.5
-"""Time without answers after which a target is expected to be as fast as its baseline,
-so that a read tries it again."""
+"""Time without answers after which a target is expected to be sound, so that a read
+tries it again."""
 
 PRIOR_SAMPLES = 2
 """Samples at the baseline that are added to the recent ones: the first answers after a
@@ -118,12 +125,18 @@
 class _Trial:
     """Whether a smaller limit makes answers faster.
 
-    ``limit`` is the one before it shrank, ``ratio`` the ratio to the baseline at the
-    limit before the last decrease; None if it wasn't measured at that limit alone.
+    Parameters
+    ----------
+    limit : float
+        Limit before it shrank.
+    measured_limit, ratio : float
+        A smaller limit, and the ratio to the baseline at that limit alone; 0 until it
+        was measured.
     """
 
     limit: float
-    ratio: float | None
+    measured_limit: float = 0.0
+    ratio: float = 0.0
 
 
 class TargetPace:
@@ -209,30 +222,27 @@
         self.limit = min(MAX_LIMIT, max(MIN_LIMIT, limit))
 
     def slowdown(self, now: float) -> float:
-        """Return the recent response time in units of the baseline, at least 1."""
+        """Return the recent response time in units of the baseline."""
         self._drop_old(now)
-        age_s = now - self._answered_at
-        weight = max(0.0, 1.0 - age_s / SLOWDOWN_DECAY_S)
-        if not self._recent or not weight:
+        if not self._recent:
             return 1.0
         ratios = [quotient.ratio for quotient in self._recent]
-        measured = low_quantile(ratios + [1.0] * PRIOR_SAMPLES)
-        return 1.0 + weight * (max(1.0, measured) - 1.0)
+        # A fast answer shows what the target can do, a slow one may be a long statement.
+        return min(low_quantile(ratios), low_quantile(ratios + [1.0] * PRIOR_SAMPLES))
 
     def response_s(self, work: WorkClass, now: float) -> float:
         """Return the expected time of a statement at the target, in s.
 
         For a class without samples here the mean of the other classes is used.
         """
-        baseline = self._baseline_by_work.get(work)
-        if baseline is not None:
-            base_s = baseline.baseline_s
-        elif self._baseline_by_work:
-            known = [b.baseline_s for b in self._baseline_by_work.values()]
-            base_s = sum(known) / len(known)
-        else:
-            base_s = INITIAL_RESPONSE_S
-        return base_s * self.slowdown(now)
+        weight = max(0.0, 1.0 - (now - self._answered_at) / SLOWDOWN_DECAY_S)
+        known = self._baseline_by_work
+        baselines = [known[work]] if work in known else list(known.values())
+        if not baselines:
+            return INITIAL_RESPONSE_S
+        sound_s = sum(baseline.sound_s for baseline in baselines) / len(baselines)
+        base_s = sum(baseline.baseline_s for baseline in baselines) / len(baselines)
+        return sound_s + weight * (base_s * self.slowdown(now) - sound_s)
 
     def mean_running(self, now: float) -> float:
         """Return this VM's mean concurrency at the target in the last second."""
@@ -245,14 +255,15 @@
         if len(self._recent) < MIN_RECENT_SAMPLES:
             return
         ratio_of_all = low_quantile([quotient.ratio for quotient in self._recent])
-        if ratio_of_all < FASTER_RATIO:
+        chance = exp(CHANCE / sqrt(len(self._recent)))
+        if ratio_of_all < FASTER_RATIO / chance:
             self._rescale_baselines(ratio_of_all)
             return
         loaded = [quotient.ratio for quotient in self._recent if not quotient.is_light]
         if len(loaded) < MIN_RECENT_SAMPLES:
             return
         ratio = low_quantile(loaded)
-        if ratio > SLOW_RATIO:
+        if ratio > SLOW_RATIO * exp(CHANCE / sqrt(len(loaded))):
             self._on_slow(ratio, now)
             return
         self._trial = None
@@ -266,14 +277,16 @@
         trial = self._trial
         if trial is None:
             # The samples may also be of the time before the target became slow.
-            self._trial = _Trial(self.limit, None)
-        elif trial.ratio is None or ratio < HELPED_RATIO * trial.ratio:
-            self._trial = _Trial(trial.limit, ratio)
-        else:
-            self._trial = None
-            self._rescale_baselines(ratio)
-            self._set_limit(trial.limit, now)
-            return
+            self._trial = _Trial(self.limit)
+        elif not trial.ratio:
+            self._trial = _Trial(trial.limit, self.limit, ratio)
+        elif self.limit <= max(1.5, TRIAL_FACTOR * trial.measured_limit):
+            if ratio > HELPED_RATIO * trial.ratio:
+                self._trial = None
+                self._rescale_baselines(ratio)
+                self._set_limit(trial.limit, now)
+                return
+            self._trial = _Trial(trial.limit, self.limit, ratio)
         self._set_limit(self.limit * max(MAX_DECREASE, LANDING_RATIO / ratio), now)
 
     def _grow(self) -> None:
--- a/packages/guavabarrow-core/tests/pace_sim.py
+++ b/packages/guavabarrow-core/tests/pace_sim.py
@@ -18,9 +18,13 @@
 )
 from guavabarrow_core.paced_load import PacedLoad, PacedWindow
 from guavabarrow_core.response_baseline import WorkClass, WorkKind
+from guavabarrow_core.send_window import SendWindow
+from guavabarrow_core.target_load import TargetLoad
 from guavabarrow_core.target_pace import PaceSample, TargetPace
+from guavabarrow_core.target_ranking import Candidate, Verdict, rank
 
 HEARTBEAT_S = 0.7
+ONE_WAY_S = 0.001
 MAX_WAITING = 60
 LONG_FRACTION = 0.02
 LONG_FACTOR = 6.0
@@ -35,13 +39,14 @@
     """Target with slots, a queue, a speed, and a load from which it slows down.
 
     ``knee`` is the number of running statements above which each further one makes
-    all of them slower by half.
+    all of them slower by ``knee_slope`` times their work.
     """
 
     name: str
     slots: int = 5
     factor: float = 1.0
     knee: int = 100
+    knee_slope: float = 0.5
     failing: float = 0.0
     running: int = 0
     queue: deque = field(default_factory=deque)
@@ -60,11 +65,15 @@
 class Host:
     """Host of the service with a window and a load for each target."""
 
-    def __init__(self, name: str, targets: list[Target]) -> None:
+    def __init__(self, name: str, targets: list[Target], is_learned: bool) -> None:
         self.name = name
+        self.is_learned = is_learned
         self.pace = {t.name: TargetPace(t.slots) for t in targets}
         self.window = {n: PacedWindow(p) for n, p in self.pace.items()}
         self.load = {n: PacedLoad(p) for n, p in self.pace.items()}
+        if not is_learned:
+            self.window = {n: SendWindow(8.0, 3.0) for n in self.pace}
+            self.load = {n: TargetLoad() for n in self.pace}
         self.in_flight = dict.fromkeys(self.pace, 0)
         self.waiting = {n: deque() for n in self.pace}
         self.peers = PeerPaces()
@@ -82,16 +91,15 @@
 class Sim:
     """Event loop; ``answers`` has (time, target, work, response time from arrival)."""
 
-    def __init__(self, targets, flows, *, hosts=3, seed=0, one_way_s=0.001) -> None:
+    def __init__(self, targets, flows, *, hosts=3, seed=0, is_learned=True) -> None:
         self.rng = np.random.default_rng(seed)
         self.targets = {t.name: t for t in targets}
         self.flows = list(flows)
-        self.hosts = [Host(f"host-{n}", targets) for n in range(hosts)]
-        self.one_way_s = one_way_s
+        self.hosts = [Host(f"host-{n}", targets, is_learned) for n in range(hosts)]
         self.now = 0.0
         self.answers: list[tuple[float, str, WorkClass, float]] = []
         self.failures: list[tuple[float, str]] = []
-        self.sent: list[tuple[float, str]] = []
+        self.sent: list[tuple[float, str, WorkClass]] = []
         self.refused: list[float] = []
         self.limits: list[tuple[float, dict[str, float]]] = []
         self._events: list = []
@@ -112,11 +120,13 @@
         return float(np.mean([host.pace[target].limit for host in self.hosts]))
 
     def response_s(self, since: float, work=None) -> float:
-        times = [r for at, _, w, r in self.answers if at >= since and w in (work, w)]
+        times = [r for at, _, w, r in self.answers if at >= since and work in (None, w)]
         return float(np.mean(times))
 
-    def share_of(self, target: str, since: float, until: float = 1e9) -> float:
-        names = [name for at, name in self.sent if since <= at < until]
+    def share_of(self, target: str, since: float, until: float = 1e9, work=None):
+        names = [
+            n for at, n, w in self.sent if since <= at < until and work in (None, w)
+        ]
         return names.count(target) / max(1, len(names))
 
     def _at(self, delay_s, action, *arguments) -> None:
@@ -143,32 +153,38 @@
 
     def _choose(self, host: Host, flow: Flow, failed: frozenset) -> str:
         names = [n for n in flow.targets if n not in failed] or list(flow.targets)
-        usable = [n for n in names if not host.load[n].is_probed]
-        if not usable or flow.work.kind is not WorkKind.READ:
-            usable = names
-
-        def expected(name: str) -> float:
-            load, window = host.load[name], host.window[name]
-            parts = load.expect(self.now, flow.work, is_local=True, is_primary=False)
-            ahead = len(host.waiting[name])
-            is_free = not ahead and window.allows(host.in_flight[name])
-            wait_s = 0.0 if is_free else window.wait_s(ahead + 1, load.response_s)
-            penalty = 0.0 if load.is_probed else parts.failures_s
-            return parts.pace_s + penalty + wait_s
-
-        best = min(names, key=expected)
-        if best not in usable and host.load[best].is_probe_due(self.now):
-            host.load[best].begin_probe(self.now)
-            return best
-        return min(usable, key=expected)
+        if flow.work.kind is not WorkKind.READ:
+            return names[0]
+        ranked = rank([self._candidate(host, name, flow.work) for name in names])
+        chosen = next(candidate for candidate in ranked if candidate.is_chosen)
+        if chosen.verdict is Verdict.CHOSEN_AS_PROBE:
+            host.load[chosen.target_id].begin_probe(self.now)
+        return chosen.target_id
+
+    def _candidate(self, host: Host, name: str, work: WorkClass) -> Candidate:
+        load, window = host.load[name], host.window[name]
+        ahead = len(host.waiting[name])
+        is_free = not ahead and window.allows(host.in_flight[name])
+        return Candidate(
+            name,
+            "",
+            is_primary=False,
+            after=None,
+            queue_s=0.0 if is_free else window.wait_s(ahead + 1, load.response_s),
+            handshake_s=0.0,
+            time=load.expect(self.now, work, is_local=True, is_primary=False),
+            has_idle=True,
+            is_probed=load.is_probed,
+            is_probe_due=load.is_probe_due(self.now),
+        )
 
     def _serve(self, host: Host, name: str) -> None:
         while host.waiting[name] and host.window[name].allows(host.in_flight[name]):
             flow, arrived_at, failed = host.waiting[name].popleft()
             host.in_flight[name] += 1
-            self.sent.append((self.now, name))
+            self.sent.append((self.now, name, flow.work))
             item = (host, flow, arrived_at, failed, self.now, host.in_flight[name])
-            self._at(self.one_way_s, self._reach, self.targets[name], item)
+            self._at(ONE_WAY_S, self._reach, self.targets[name], item)
 
     def _reach(self, target: Target, item) -> None:
         if target.running >= target.slots:
@@ -176,7 +192,7 @@
             return
         target.running += 1
         over = max(0, target.running - target.knee)
-        mean_s = item[1].mean_s * target.factor * (1.0 + 0.5 * over)
+        mean_s = item[1].mean_s * target.factor * (1.0 + target.knee_slope * over)
         work_s = mean_s * self.rng.lognormal(-(SIGMA**2) / 2, SIGMA)
         if self.rng.random() < LONG_FRACTION:
             work_s *= LONG_FACTOR
@@ -185,7 +201,7 @@
     def _finish(self, target: Target, item) -> None:
         target.running -= 1
         is_failed = self.rng.random() < target.failing
-        self._at(self.one_way_s, self._answer, target, item, is_failed)
+        self._at(ONE_WAY_S, self._answer, target, item, is_failed)
         if target.queue:
             self._reach(target, target.queue.popleft())
 
@@ -195,7 +211,7 @@
         host.in_flight[name] -= 1
         host.load[name].running -= 1
         if is_failed:
-            host.load[name].record_failed_answer(self.now)
+            host.load[name].record_failed_answer(0.0, self.now)
             self.failures.append((self.now, name))
             if flow.work.kind is WorkKind.READ and len(failed) < 2:
                 self._submit(host, flow, arrived_at, failed | {name})
@@ -217,7 +233,7 @@
                     host.peers.update(
                         peer.name, digests[peer.name], self.now, is_full=True
                     )
-            for name, pace in host.pace.items():
+            for name, pace in host.pace.items() if host.is_learned else ():
                 all_ = host.peers.of_target(name, self.now)
                 pace.peers_running = sum(d.running for d in all_.values())
                 all_[host.name] = digests[host.name][name]
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -10,7 +10,11 @@
 from xxhash import xxh3_64_intdigest
 
 from guavabarrow_core.fleet_state import LeadRow, VersionedRow
+from guavabarrow_core.paced_load import PacedLoad
+from guavabarrow_core.service_host import NOT_HOSTED, HostPlan
 from guavabarrow_core.target_directory import TargetDirectory, TargetEntry
+from guavabarrow_core.target_load import LoadEstimate, TargetLoad
+from guavabarrow_core.target_pace import TargetPace
 from guavabarrow_daemon.fleet.fleet_messages import UNKNOWN_AGE_S
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
@@ -59,6 +63,8 @@
         Called after the list changed.
     list_digest : int
         Digest of the current list.
+    host_plan_of : callable
+        Returns how the statements of a service are divided among VMs.
     """
 
     name = "directory"
@@ -77,6 +83,7 @@
         self.directory = TargetDirectory()
         self.pool_by_id: dict[str, SessionPool] = {}
         self.on_changed: list[Callable[[], None]] = []
+        self.host_plan_of: Callable[[str], HostPlan] = lambda service: NOT_HOSTED
         self.create_codec = create_codec
         self._driver = SessionDriver(
             create_codec, reactor, open_timeout_s=OPEN_TIMEOUT_S
@@ -156,6 +163,18 @@
         self._set_limits(pool)
         return pool
 
+    def current_pool(self, entry: TargetEntry) -> SessionPool | None:
+        """Return the pool of a target, None if it has not been used."""
+        pool = self.pool_by_id.get(entry.target_id)
+        is_current = pool is not None and self._is_same_process(pool.entry, entry)
+        return pool if is_current else None
+
+    def new_load(self, entry: TargetEntry) -> LoadEstimate:
+        """Return the load estimate that a target has before it is used."""
+        if self.host_plan_of(entry.service).is_hosted:
+            return PacedLoad(TargetPace(entry.slots))
+        return TargetLoad()
+
     def record_evidence(self, target_id: str, evidence: str) -> None:
         """Record the outcome of a connection: answered, refused, silent or lost."""
         if evidence == "answered":
@@ -287,6 +306,7 @@
             del self._unusable_since[target_id]
 
     def _set_limits(self, pool: SessionPool) -> None:
+        pool.set_paced(self.host_plan_of(pool.entry.service).is_hosted)
         configuration = self._fleet.configuration
         if configuration is None:
             return
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -37,6 +37,23 @@
     unreachable: list[str]
 
 
+class SharedPace(msgspec.Struct, frozen=True, array_like=True):
+    """What a service host knows about one target; see ``PaceDigest``.
+
+    Parameters
+    ----------
+    demand, running : float
+        Mean of the statements that it runs at or holds back from the target, and of
+        those that it runs.
+    limit : float
+        Limit that it found; 0 if it no longer hosts the service.
+    """
+
+    demand: float = 0.0
+    running: float = 0.0
+    limit: float = 0.0
+
+
 class PeerHeartbeat(msgspec.Struct, frozen=True, tag="pulse", omit_defaults=True):
     """Periodic message that shows that a VM is alive, with its current state.
 
@@ -75,6 +92,11 @@
         Failure domains none of whose hubs the sender is in contact with.
     domain_reports : dict of str to RelayedDomainReport
         Reports on failure domains that receivers have lost.
+    paces : dict of str to SharedPace
+        Changed digests of targets whose services the sender hosts; only hubs send them,
+        to other domains.
+    has_all_paces : bool
+        Whether targets that are missing from ``paces`` have no digest.
     """
 
     demand_by_team: dict[str, float] = {}
@@ -92,6 +114,8 @@
     unreachable: list[str] | None = None
     lost_domains: list[str] = []
     domain_reports: dict[str, RelayedDomainReport] = {}
+    paces: dict[str, SharedPace] = {}
+    has_all_paces: bool = False
 
 
 class SharedRow(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -13,6 +13,7 @@
 from twisted.internet.task import deferLater
 
 from guavabarrow_core.exceptions import SessionError
+from guavabarrow_core.response_baseline import WorkKind
 from guavabarrow_core.session_messages import (
     FailureCode,
     Reply,
@@ -162,7 +163,13 @@
             pool.load.running += 1
             try:
                 reply = await self._exchange.run(
-                    context, connection, pool, data, restore_count, is_write=True
+                    context,
+                    connection,
+                    pool,
+                    data,
+                    restore_count,
+                    is_write=True,
+                    kind=WorkKind.WRITE,
                 )
                 is_valid = self._primary_service.may_accept_answer(
                     service, pool.entry.target_id
@@ -205,7 +212,9 @@
         for _ in range(MAX_READ_ATTEMPTS):
             after = None
             if is_read_only:
-                pool, after = await self._chooser.choose_read_target(context, failed)
+                pool, after = await self._chooser.choose_read_target(
+                    context, failed, may_probe=False
+                )
                 connection = await pool.acquire(
                     context.team,
                     priority=context.route.priority,
@@ -300,6 +309,7 @@
                 restore_count,
                 is_write=is_commit,
                 keep_connection=True,
+                kind=_work_kind(statement),
             )
         except SessionError as error:
             self.end(transaction)
@@ -359,3 +369,10 @@
         if transaction.at_primary:
             self._primary_service.end_work(transaction.service)
         self._exchange.release_connection(transaction.connection, transaction.pool)
+
+
+def _work_kind(statement: Statement) -> WorkKind:
+    if statement.kind is StatementKind.COMMIT:
+        return WorkKind.COMMIT
+    is_write = statement.writes or statement.kind is StatementKind.WRITE
+    return WorkKind.WRITE if is_write else WorkKind.READ
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
@@ -7,8 +7,10 @@
 from twisted.internet.defer import TimeoutError
 
 from guavabarrow_core.exceptions import SessionError
+from guavabarrow_core.response_baseline import WorkClass, WorkKind
 from guavabarrow_core.session_configuration import Consistency
 from guavabarrow_core.session_messages import FailureCode
+from guavabarrow_core.target_ranking import Candidate, Verdict, rank
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -53,7 +55,7 @@
         self._behind_until[target_id] = now_s() + BEHIND_PAUSE_S
 
     async def choose_read_target(
-        self, context: StatementContext, failed: set[str]
+        self, context: StatementContext, failed: set[str], *, may_probe: bool = True
     ) -> tuple[SessionPool, LogPosition | None]:
         """Choose the target of a read or read-only transaction.
 
@@ -63,6 +65,8 @@
             Context of the statement.
         failed : set of str
             Ids of targets that failed in earlier attempts.
+        may_probe : bool
+            Whether the statement may probe a target that fails often.
 
         Returns
         -------
@@ -76,36 +80,129 @@
             If no target can be used.
         """
         now = now_s()
-        route = context.route
-        primary = self._primary_service.primary(route.service)
-        candidates: list[tuple[float, TargetEntry, LogPosition | None]] = []
-        required = None
-        if route.consistency is not Consistency.PRIMARY:
-            required = self._primary_service.history(route.service).required_position(
-                now=context.began_at, max_age_s=route.max_age_s
-            )
-        if required is not None:
-            if context.session_position is not None:
-                required = max(required, context.session_position)
-            for entry in self._directory.usable_targets(route.service):
-                is_primary = primary is not None and entry == primary
-                if is_primary or entry.target_id in failed:
-                    continue
-                if now < self._behind_until.get(entry.target_id, 0.0):
-                    continue
-                expected = self._expected_response_s(entry, context.team, now)
-                candidates.append((expected, entry, required))
-        if primary is not None and primary.target_id not in failed:
-            expected = self._expected_response_s(primary, context.team, now)
-            candidates.append((expected, primary, None))
-        if candidates:
-            _, entry, after = min(candidates, key=lambda candidate: candidate[0])
-            return self._directory.pool(entry), after
+        candidates = self.explain_read(context, failed, now, may_probe=may_probe)
+        for candidate in candidates:
+            entry = self._directory.entry(candidate.target_id)
+            if candidate.is_chosen and entry is not None:
+                pool = self._directory.pool(entry)
+                if candidate.verdict is Verdict.CHOSEN_AS_PROBE:
+                    pool.load.begin_probe(now)
+                return pool, candidate.after
         entry = await self._await_primary(context)
         if entry.target_id in failed:
             raise SessionError(FailureCode.OVERLOADED, "All targets failed.")
         return self._directory.pool(entry), None
 
+    def explain_read(
+        self,
+        context: StatementContext,
+        failed: set[str],
+        now: float,
+        *,
+        may_probe: bool = True,
+    ) -> list[Candidate]:
+        """Return all targets of a read's service with what is decided about them.
+
+        Changes nothing: :meth:`choose_read_target` makes the choice that this method
+        explains.
+
+        Parameters
+        ----------
+        context : StatementContext
+            Context of the statement.
+        failed : set of str
+            Ids of targets that failed in earlier attempts.
+        now : float
+            Local time, in s.
+        may_probe : bool
+            Whether the statement may probe a target that fails often.
+
+        Returns
+        -------
+        list of Candidate
+            At most one of them is chosen; if none is, the read waits for a primary.
+        """
+        route = context.route
+        primary = self._primary_service.primary(route.service)
+        required = self._required_position(context)
+        candidates = []
+        for entry in self._directory.directory.of_service(route.service):
+            if primary is None or entry.target_id != primary.target_id:
+                verdict = self._replica_verdict(entry, context, required, failed, now)
+                candidates.append(
+                    self._candidate(entry, context, now, verdict, after=required)
+                )
+        if primary is not None:
+            has_failed = primary.target_id in failed
+            verdict = Verdict.FAILED_BEFORE if has_failed else Verdict.SLOWER
+            candidates.append(
+                self._candidate(primary, context, now, verdict, is_primary=True)
+            )
+        return rank(candidates, may_probe=may_probe)
+
+    def _required_position(self, context: StatementContext) -> LogPosition | None:
+        route = context.route
+        if route.consistency is Consistency.PRIMARY:
+            return None
+        required = self._primary_service.history(route.service).required_position(
+            now=context.began_at, max_age_s=route.max_age_s
+        )
+        if required is not None and context.session_position is not None:
+            return max(required, context.session_position)
+        return required
+
+    def _replica_verdict(
+        self,
+        entry: TargetEntry,
+        context: StatementContext,
+        required: LogPosition | None,
+        failed: set[str],
+        now: float,
+    ) -> Verdict:
+        """Return what excludes a replica, or ``SLOWER`` if nothing does."""
+        if context.route.consistency is Consistency.PRIMARY:
+            return Verdict.PRIMARY_ONLY
+        if required is None:
+            return Verdict.NO_POSITION
+        if entry.is_draining:
+            return Verdict.DRAINING
+        if not self._directory.is_usable(entry.target_id):
+            return Verdict.EVACUATED
+        if entry.target_id in failed:
+            return Verdict.FAILED_BEFORE
+        if now < self._behind_until.get(entry.target_id, 0.0):
+            return Verdict.BEHIND
+        return Verdict.SLOWER
+
+    def _candidate(
+        self,
+        entry: TargetEntry,
+        context: StatementContext,
+        now: float,
+        verdict: Verdict,
+        *,
+        is_primary: bool = False,
+        after: LogPosition | None = None,
+    ) -> Candidate:
+        pool = self._directory.current_pool(entry)
+        load = pool.load if pool is not None else self._directory.new_load(entry)
+        has_idle = pool is not None and pool.has_idle(context.team)
+        work = WorkClass(WorkKind.READ, context.route.objective_s)
+        is_local = entry.domain == self._directory.domain
+        return Candidate(
+            entry.target_id,
+            entry.domain,
+            is_primary,
+            after,
+            queue_s=pool.wait_s if pool is not None else 0.0,
+            handshake_s=0.0 if has_idle else HANDSHAKE_COST_S,
+            time=load.expect(now, work, is_local=is_local, is_primary=is_primary),
+            has_idle=has_idle,
+            is_probed=load.is_probed,
+            is_probe_due=load.is_probe_due(now),
+            verdict=verdict,
+        )
+
     async def acquire_primary(
         self, context: StatementContext
     ) -> tuple[SessionPool, SessionConnection]:
@@ -155,10 +252,3 @@
                 await changed
             except TimeoutError:
                 continue
-
-    def _expected_response_s(self, entry: TargetEntry, team: str, now: float) -> float:
-        pool = self._directory.pool(entry)
-        is_local = entry.domain == self._directory.domain
-        expected = pool.load.expected_s(now, is_local=is_local)
-        expected += pool.wait_s
-        return expected if pool.has_idle(team) else expected + HANDSHAKE_COST_S
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
@@ -7,7 +7,9 @@
 from twisted.internet.defer import TimeoutError
 
 from guavabarrow_core.exceptions import SessionError
+from guavabarrow_core.response_baseline import WorkClass, WorkKind
 from guavabarrow_core.session_messages import FailureCode, Reply, TransactionState
+from guavabarrow_core.target_pace import PaceSample
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -74,6 +76,7 @@
         is_write: bool = False,
         keep_connection: bool = False,
         setup_only: bool = False,
+        kind: WorkKind = WorkKind.READ,
     ) -> Reply:
         """Send a statement and wait for its reply.
 
@@ -95,6 +98,9 @@
             Whether no statement of the caller is sent, only BEGIN, which needs no slot
             at the target: its reply updates neither the load estimate nor, unless it
             is OVERLOADED, the send window.
+        kind : WorkKind
+            What the statement does; its response time is compared with those of the
+            same kind and latency objective.
 
         Raises
         ------
@@ -103,6 +109,7 @@
         """
         asked_at = now_s()
         pool.begin_statement()
+        running = pool.in_flight
         if not setup_only:
             context.was_sent_to_target = True
         sent = connection.send(data, restore_count, asked_at)
@@ -112,8 +119,12 @@
         try:
             reply = await sent
         except (TargetConnectionBroken, TimeoutError) as error:
-            pool.load.record_failure(now_s())
+            failed_at = now_s()
             is_timeout = isinstance(error, TimeoutError)
+            if is_timeout:
+                pool.load.record_timeout(failed_at - asked_at, failed_at)
+            else:
+                pool.load.record_failure(failed_at)
             self._metrics.attempts.labels(
                 role, "timeout" if is_timeout else "lost"
             ).inc()
@@ -128,12 +139,14 @@
         now = now_s()
         result = reply.failure.code.value if reply.failure else "completed"
         self._metrics.attempts.labels(role, result).inc()
-        failure_code = reply.failure.code if reply.failure else None
-        if failure_code is FailureCode.OVERLOADED:
-            pool.window.on_refused()
-        elif failure_code is not FailureCode.BEHIND and not setup_only:
-            pool.window.on_answer(now - asked_at)
-            pool.load.record(now - asked_at, now)
+        self._update_load(
+            pool,
+            reply.failure.code if reply.failure else None,
+            PaceSample(
+                WorkClass(kind, context.route.objective_s), now - asked_at, now, running
+            ),
+            setup_only=setup_only,
+        )
         if reply.ready.position is not None and reply.failure is None:
             self._primary_service.observe(
                 context.route.service,
@@ -145,6 +158,26 @@
             self.release_connection(connection, pool)
         return reply
 
+    def _update_load(
+        self,
+        pool: SessionPool,
+        failure_code: FailureCode | None,
+        sample: PaceSample,
+        *,
+        setup_only: bool,
+    ) -> None:
+        if failure_code is FailureCode.OVERLOADED:
+            pool.window.on_refused(sample.now)
+            return
+        if failure_code is FailureCode.BEHIND or setup_only:
+            return
+        # Failed statements may be fast, so they tell nothing about the pace.
+        pool.window.on_answer(sample.response_s, None if failure_code else sample)
+        if failure_code is FailureCode.FAILED:
+            pool.load.record_failed_answer(sample.response_s, sample.now)
+        else:
+            pool.load.record(sample.response_s, sample.now)
+
     def release_connection(
         self, connection: SessionConnection, pool: SessionPool
     ) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -16,6 +16,7 @@
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.duty_service import DutyService
 from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.pace_service import PaceService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.fleet.primary_watch import PrimaryWatch
@@ -130,6 +131,7 @@
                 domain=settings.domain,
             )
         )
+        kernel.register(PaceService(kernel, settings))
         kernel.register(TableRelay(kernel, reactor))
         kernel.register(ContactService(kernel))
         kernel.register(PrimaryService(kernel, reactor))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
@@ -15,9 +15,11 @@
 from twisted.internet.defer import Deferred
 
 from guavabarrow_core.exceptions import SessionError
-from guavabarrow_core.send_window import SendWindow
+from guavabarrow_core.paced_load import PacedLoad, PacedWindow
+from guavabarrow_core.send_window import ConcurrencyWindow, SendWindow
 from guavabarrow_core.session_messages import FailureCode, OpenSession
-from guavabarrow_core.target_load import TargetLoad
+from guavabarrow_core.target_load import LoadEstimate, TargetLoad
+from guavabarrow_core.target_pace import TargetPace
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.targets.interface import (
@@ -117,8 +119,8 @@
         count_handshake: Callable[[str], None],
     ) -> None:
         self.entry = entry
-        self.load = TargetLoad()
-        self.window = SendWindow(MAX_WINDOW, INITIAL_WINDOW)
+        self.load: LoadEstimate = TargetLoad()
+        self.window: ConcurrencyWindow = SendWindow(MAX_WINDOW, INITIAL_WINDOW)
         self._running_count = 0
         self.fair_share = 1
         self.connection_limit = 4
@@ -159,6 +161,24 @@
             return 0.0
         return self.window.wait_s(ahead + 1, self.load.response_s)
 
+    @property
+    def in_flight(self) -> int:
+        """Statements that were sent to the target and not answered."""
+        return self._running_count
+
+    def set_paced(self, is_paced: bool) -> None:
+        """Use a learned limit, or the window of a VM that decides alone."""
+        if isinstance(self.window, PacedWindow) == is_paced:
+            return
+        running = self.load.running
+        if is_paced:
+            pace = TargetPace(self.entry.slots)
+            self.window, self.load = PacedWindow(pace), PacedLoad(pace)
+        else:
+            self.window = SendWindow(MAX_WINDOW, INITIAL_WINDOW)
+            self.load = TargetLoad()
+        self.load.running = running
+
     def begin_statement(self) -> None:
         """Increment the number of running statements."""
         self._running_count += 1
