--- a/packages/guavabarrow-core/src/guavabarrow_core/paced_load.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/paced_load.py
@@ -27,6 +27,11 @@
 """The same for reads at a primary, which leave it first: writes have no other target.
 """
 
+RETRY_COST_S = 0.05
+"""Time that a failed read costs: it is run again elsewhere. A larger cost would keep
+all reads away after a single failure, so that neither the fraction of failures nor the
+recovery could be measured."""
+
 FAIR_TIMEOUT_FACTOR = 4.0
 """A time-out counts as a failure of the target only if the statement had this many
 times the usual response time; others ran out of time in a queue."""
@@ -119,7 +124,7 @@
         pace_s = self.pace.response_s(work, now) * (1.0 + weight * busy)
         since_s = now - self._unreachable_at
         penalty_s = max(
-            FAILURE_PENALTY_S * self.health.fraction(now), FAILURE_PENALTY_S - since_s
+            RETRY_COST_S * self.health.fraction(now), FAILURE_PENALTY_S - since_s
         )
         return ExpectedTime(pace_s, penalty_s, 0.0 if is_local else REMOTE_PENALTY_S)
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_health.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_health.py
@@ -17,11 +17,11 @@
 """Bound above which a target gets probes only. Two failures are also seen when one
 statement is wrong and tried again."""
 
-PROBE_INTERVAL_S = 0.2
+PROBE_INTERVAL_S = 0.3
 """Time between the first probes; it shrinks with each success in a row."""
 
-SUCCESSES_TO_REINSTATE = 8
-"""A target that fails three statements in ten passes once in seventeen attempts."""
+SUCCESSES_TO_REINSTATE = 10
+"""A target that fails three statements in ten passes once in 35 attempts."""
 
 
 class TargetHealth:
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
@@ -227,7 +227,7 @@
         if not self._recent:
             return 1.0
         ratios = [quotient.ratio for quotient in self._recent]
-        # A fast answer shows what the target can do, a slow one may be a long statement.
+        # A fast answer shows what the target can do, a slow one may be a long one.
         return min(low_quantile(ratios), low_quantile(ratios + [1.0] * PRIOR_SAMPLES))
 
     def response_s(self, work: WorkClass, now: float) -> float:
