--- a/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
@@ -43,14 +43,14 @@
 FAST_RATIO = 1.15
 """Ratio to the baseline below which the limit may grow."""
 
-SLOW_RATIO = 1.3
+SLOW_RATIO = 1.35
 CHANCE = 1.8
 """The limit shrinks above ``SLOW_RATIO * exp(CHANCE / sqrt(samples))``: nearly three
 standard errors of the low quantile of log-normal times, as at a dozen samples chance
 alone can give one and a half times the baseline. Under steady load the limit stays
 between both bounds."""
 
-LANDING_RATIO = 1.3
+LANDING_RATIO = 1.45
 """Ratio that a decrease aims at."""
 
 MAX_DECREASE = 0.7
