--- a/packages/guavabarrow-core/src/guavabarrow_core/response_baseline.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/response_baseline.py
@@ -19,8 +19,8 @@
 
 MAX_LIGHT_SAMPLES = 64
 MAX_LIGHT_AGE_S = 6.0
-"""Samples without load that form the baseline: few enough to follow a target that
-became slower at any load within two seconds of steady use."""
+"""Samples without load that form the baseline, of some seconds: more make its error
+smaller, and older ones delay its rise at a target that became slower at any load."""
 
 MIN_LIGHT_SAMPLES = 8
 """With fewer samples a baseline that exists is kept."""
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
@@ -58,8 +58,8 @@
 
 FIRST_STEP = 0.25
 MAX_STEP = 0.5
-"""Steps of the growth, doubled while it goes on: small under steady load, but a limit
-that was halved is regained within two seconds."""
+"""Steps of the growth, doubled while it goes on. With 0.35 at most, a limit that was
+halved is not regained within two seconds; larger steps make it vary more."""
 
 FULL_FRACTION = 0.9
 """Fraction of the limit from which it counts as used."""
