--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -11,8 +11,10 @@
 
 from guavabarrow_core.connection_budget import divide_connections
 from guavabarrow_core.fleet_state import LeadRow, VersionedRow
-from guavabarrow_core.service_host import HostPlan
+from guavabarrow_core.paced_load import PacedLoad
 from guavabarrow_core.target_directory import TargetDirectory, TargetEntry
+from guavabarrow_core.target_load import LoadEstimate, TargetLoad
+from guavabarrow_core.target_pace import TargetPace
 from guavabarrow_daemon.fleet.fleet_messages import UNKNOWN_AGE_S
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
@@ -28,6 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavabarrow_core.service_host import HostPlan
     from guavabarrow_daemon.fleet.fleet_service import HeartbeatDraft
     from guavabarrow_daemon.session_codec import TargetCodec
     from guavabarrow_daemon.store.watched_table import DirectorySource
@@ -167,6 +170,18 @@
         self._set_limits(pool)
         return pool
 
+    def current_pool(self, entry: TargetEntry) -> SessionPool | None:
+        """Return the pool of a target, None if it has not been used."""
+        pool = self.pool_by_id.get(entry.target_id)
+        is_current = pool is not None and self._is_same_process(pool.entry, entry)
+        return pool if is_current else None
+
+    def new_load(self, entry: TargetEntry) -> LoadEstimate:
+        """Return the load estimate that a target has before it is used."""
+        if self.host_plan_of(entry.service).is_hosted:
+            return PacedLoad(TargetPace(entry.slots))
+        return TargetLoad()
+
     def record_evidence(self, target_id: str, evidence: str) -> None:
         """Record the outcome of a connection: answered, refused, silent or lost."""
         if evidence == "answered":
@@ -308,13 +323,13 @@
         limits = configuration.limits_by_service.get(pool.entry.service)
         if limits is None:
             return
+        plan = self.host_plan_of(pool.entry.service)
         pool.set_limits(
             divide_connections(
-                limits.max_connections,
-                len(self._fleet.state.member_by_vm()),
-                self.host_plan_of(pool.entry.service),
+                limits.max_connections, len(self._fleet.state.member_by_vm()), plan
             )
         )
+        pool.set_paced(plan.is_hosted)
 
     def _weight_of(self, team: str) -> float:
         """Return a team's rate relative to the mean, 1 if it has no rate."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -44,6 +44,23 @@
     unreachable: list[str]
 
 
+class SharedPace(msgspec.Struct, frozen=True, array_like=True):
+    """What a service host knows about one target; see ``PaceDigest``.
+
+    Parameters
+    ----------
+    demand, running : float
+        Mean of the statements that it runs at or holds back from the target, and of
+        those that it runs.
+    limit : float
+        Limit that it found; 0 if it no longer hosts the service.
+    """
+
+    demand: float = 0.0
+    running: float = 0.0
+    limit: float = 0.0
+
+
 class PeerHeartbeat(msgspec.Struct, frozen=True, tag="pulse", omit_defaults=True):
     """Periodic message that shows that a VM is alive, with its current state.
 
@@ -94,6 +111,11 @@
     true_offset_s : float or None
         True time minus the store's clock as a hub knows it, in s; only sent inside its
         failure domain.
+    paces : dict of str to SharedPace
+        Changed digests of targets whose services the sender hosts; only hubs send them,
+        to other domains.
+    has_all_paces : bool
+        Whether targets that are missing from ``paces`` have no digest.
     """
 
     demand_by_team: dict[str, float] = {}
@@ -116,6 +138,8 @@
     is_leaving: bool = False
     clock_offset_s: float | None = None
     true_offset_s: float | None = None
+    paces: dict[str, SharedPace] = {}
+    has_all_paces: bool = False
 
 
 class SharedRow(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
@@ -7,12 +7,14 @@
 from twisted.internet.defer import TimeoutError
 
 from guavabarrow_core.exceptions import SessionError
+from guavabarrow_core.response_baseline import WorkClass, WorkKind
 from guavabarrow_core.session_messages import (
     NOT_RUN_CODES,
     FailureCode,
     Reply,
     TransactionState,
 )
+from guavabarrow_core.target_pace import PaceSample
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -96,6 +98,7 @@
         keep_connection: bool = False,
         setup_only: bool = False,
         transaction: OpenTransaction | None = None,
+        kind: WorkKind = WorkKind.READ,
     ) -> Reply:
         """Send a statement and wait for its reply.
 
@@ -119,6 +122,9 @@
             is OVERLOADED, the send window.
         transaction : OpenTransaction, optional
             Transaction that the statement belongs to.
+        kind : WorkKind
+            What the statement does; its response time is compared with those of the
+            same kind and latency objective.
 
         Raises
         ------
@@ -127,6 +133,7 @@
         """
         asked_at = now_s()
         pool.begin_statement()
+        running = pool.in_flight
         if not setup_only:
             context.was_sent_to_target = True
         observers = [] if setup_only else self._notify_sent(context, transaction)
@@ -138,8 +145,12 @@
         try:
             reply = await sent
         except (TargetConnectionBroken, TimeoutError) as error:
-            pool.load.record_failure(now_s())
+            failed_at = now_s()
             is_timeout = isinstance(error, TimeoutError)
+            if is_timeout:
+                pool.load.record_timeout(failed_at - asked_at, failed_at)
+            else:
+                pool.load.record_failure(failed_at)
             self._metrics.attempts.labels(
                 role, "timeout" if is_timeout else "lost"
             ).inc()
@@ -154,12 +165,14 @@
         now = now_s()
         result = reply.failure.code.value if reply.failure else "completed"
         self._metrics.attempts.labels(role, result).inc()
-        failure_code = reply.failure.code if reply.failure else None
-        if failure_code is FailureCode.OVERLOADED:
-            pool.window.on_refused()
-        elif failure_code is not FailureCode.BEHIND and not setup_only:
-            pool.window.on_answer(now - asked_at)
-            pool.load.record(now - asked_at, now)
+        self._update_load(
+            pool,
+            reply.failure.code if reply.failure else None,
+            PaceSample(
+                WorkClass(kind, context.route.objective_s), now - asked_at, now, running
+            ),
+            setup_only=setup_only,
+        )
         if reply.ready.position is not None and reply.failure is None:
             self._primary_service.observe(
                 context.route.service,
@@ -176,6 +189,26 @@
     ) -> list[Callable[[bool], None]]:
         return [callback(context, transaction) for callback in self.on_sent]
 
+    def _update_load(
+        self,
+        pool: SessionPool,
+        failure_code: FailureCode | None,
+        sample: PaceSample,
+        *,
+        setup_only: bool,
+    ) -> None:
+        if failure_code is FailureCode.OVERLOADED:
+            pool.window.on_refused(sample.now)
+            return
+        if failure_code is FailureCode.BEHIND or setup_only:
+            return
+        # Failed statements may be fast, so they tell nothing about the pace.
+        pool.window.on_answer(sample.response_s, None if failure_code else sample)
+        if failure_code is FailureCode.FAILED:
+            pool.load.record_failed_answer(sample.response_s, sample.now)
+        else:
+            pool.load.record(sample.response_s, sample.now)
+
     def release_connection(
         self, connection: SessionConnection, pool: SessionPool
     ) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/route_candidates.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/route_candidates.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from guavabarrow_core.target_load import TargetLoad
+from guavabarrow_core.fleet_state import LeadPhase
+from guavabarrow_core.session_configuration import Consistency
+from guavabarrow_core.session_values import SessionValues
+from guavabarrow_core.target_ranking import Candidate as RankedCandidate
+from guavabarrow_core.target_ranking import Verdict
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
-from guavabarrow_daemon.front.target_chooser import HANDSHAKE_COST_S, TargetChooser
+from guavabarrow_daemon.front.statement_context import StatementContext
+from guavabarrow_daemon.front.target_chooser import TargetChooser
 from guavabarrow_daemon.operations.clock import now_s
 
 if TYPE_CHECKING:
     from guavabarrow_core.log_position import LogPosition
-    from guavabarrow_core.target_directory import TargetEntry
+    from guavabarrow_core.session_configuration import Route
     from guavabarrow_daemon.kernel import Kernel
 
 
@@ -61,135 +66,113 @@
 
 @dataclass(frozen=True, slots=True)
 class CandidateQuery:
-    """What a statement needs; ``max_age_s`` is in s."""
+    """Statement whose candidates are wanted.
 
-    service: str
+    Parameters
+    ----------
+    route : Route
+        Route with the maximum age that applies.
+    team : str
+        Team that the statement runs for.
+    needs_primary : bool
+        Whether only the primary can run it.
+    session_position : LogPosition or None
+        Position of the session's last commit.
+    """
+
+    route: Route
     team: str
     needs_primary: bool
-    max_age_s: float
     session_position: LogPosition | None
 
 
 def collect_candidates(kernel: Kernel, query: CandidateQuery) -> list[Candidate]:
     """Return all targets of the service, the one that would be chosen marked.
 
-    Follows ``TargetChooser`` without changing state. The lead replaces it by a method
-    of the chooser that returns its candidates with their parts.
+    The chooser itself explains its choice, and no state is changed.
     """
+    route = query.route
+    if query.needs_primary:
+        route = replace(route, consistency=Consistency.PRIMARY)
+    now = now_s()
+    context = StatementContext(
+        route=route,
+        team=query.team,
+        request_id="",
+        began_at=now,
+        deadline=now + route.timeout_s,
+        values=SessionValues(),
+        session_position=query.session_position,
+    )
+    ranked = kernel.find(TargetChooser).explain_read(context, set(), now)
+    return [_to_view(kernel, query, candidate, ranked) for candidate in ranked]
+
+
+def _to_view(
+    kernel: Kernel,
+    query: CandidateQuery,
+    candidate: RankedCandidate,
+    ranked: list[RankedCandidate],
+) -> Candidate:
     directory = kernel.find(DirectoryService)
-    primaries = kernel.find(PrimaryService)
-    primary = primaries.primary(query.service)
-    row = kernel.find(FleetService).state.primary_row(query.service)
-    history = primaries.history(query.service)
-    required = None
-    if not query.needs_primary:
-        required = history.required_position(now=now_s(), max_age_s=query.max_age_s)
-    if required is not None and query.session_position is not None:
-        required = max(required, query.session_position)
-    suspected = directory.suspected()
-    candidates = []
-    for entry in directory.entries():
-        if entry.service != query.service:
-            continue
-        is_primary = row is not None and row.primary_id == entry.target_id
-        obstacle = (
-            _primary_obstacle(kernel, entry, primary)
-            if is_primary
-            else _replica_obstacle(kernel, entry, query, required)
+    row = kernel.find(FleetService).state.primary_row(query.route.service)
+    is_primary = row is not None and row.primary_id == candidate.target_id
+    history = kernel.find(PrimaryService).history(query.route.service)
+    known = history.newest.position if is_primary and history.newest else None
+    pool = directory.pool_by_id.get(candidate.target_id)
+    return Candidate(
+        target=candidate.target_id,
+        domain=candidate.domain,
+        role="primary" if is_primary else "replica",
+        is_usable=candidate.is_chosen or candidate.verdict is Verdict.SLOWER,
+        is_chosen=candidate.is_chosen,
+        reason=_describe(kernel, query.route.service, candidate, is_primary, ranked),
+        required_position=_format(candidate.after),
+        known_position=_format(known),
+        waiting=pool.waiting if pool is not None else 0,
+        wait_s=round(candidate.queue_s, 4),
+        expected_s=round(candidate.expected_s, 4),
+        has_idle=candidate.has_idle,
+        evidence=directory.suspected().get(candidate.target_id, ""),
+    )
+
+
+def _describe(
+    kernel: Kernel,
+    service: str,
+    candidate: RankedCandidate,
+    is_primary: bool,
+    ranked: list[RankedCandidate],
+) -> str:
+    if is_primary and not candidate.is_primary:
+        return _primary_obstacle(kernel, service, candidate.target_id)
+    chosen = next((other for other in ranked if other.is_chosen), None)
+    if candidate.is_chosen:
+        is_alone = all(
+            other is candidate or other.verdict is not Verdict.SLOWER
+            for other in ranked
         )
-        known = history.newest.position if is_primary and history.newest else None
-        needed = None if is_primary else required
-        candidates.append(
-            Candidate(
-                target=entry.target_id,
-                domain=entry.domain,
-                role="primary" if is_primary else "replica",
-                is_usable=not obstacle,
-                is_chosen=False,
-                reason=obstacle,
-                required_position=_format(needed),
-                known_position=_format(known),
-                evidence=suspected.get(entry.target_id, ""),
-                **_load_fields(directory, entry, query.team),
-            )
+        if candidate.verdict is Verdict.CHOSEN_AS_PROBE:
+            return candidate.verdict.value
+        return (
+            "the only one that can be used" if is_alone else "the lowest expected time"
         )
-    return _mark_choice(candidates)
+    if candidate.verdict is Verdict.SLOWER and chosen is not None:
+        slower_ms = (candidate.expected_s - chosen.expected_s) * 1000
+        return f"{slower_ms:.0f} ms slower than {chosen.target_id}"
+    return candidate.verdict.value
 
 
-def _primary_obstacle(
-    kernel: Kernel, entry: TargetEntry, primary: TargetEntry | None
-) -> str:
-    if primary is not None and primary.target_id == entry.target_id:
-        return ""
-    row = kernel.find(FleetService).state.primary_row(entry.service)
-    if row is not None and row.phase.value != "settled":
+def _primary_obstacle(kernel: Kernel, service: str, target_id: str) -> str:
+    """Return why the service's primary may not be used."""
+    row = kernel.find(FleetService).state.primary_row(service)
+    if row is not None and row.phase is not LeadPhase.SETTLED:
         return f"the primary may not be used: phase {row.phase.value}"
-    unusable_s = kernel.find(DirectoryService).unusable_s(entry.target_id)
+    unusable_s = kernel.find(DirectoryService).unusable_s(target_id)
     if unusable_s:
         return f"the primary may not be used: drained or evacuated {unusable_s:.1f} s"
     return "the primary may not be used: this VM has no lease"
 
 
-def _replica_obstacle(
-    kernel: Kernel,
-    entry: TargetEntry,
-    query: CandidateQuery,
-    required: LogPosition | None,
-) -> str:
-    if query.needs_primary:
-        return "the statement needs the primary"
-    if entry.is_draining:
-        return "draining"
-    if entry.domain in kernel.find(FleetService).evacuated:
-        return "its domain is evacuated"
-    if required is None:
-        return "no observation of the primary is young enough to judge freshness"
-    behind_s = kernel.find(TargetChooser).behind_s(entry.target_id)
-    if behind_s:
-        return f"lacked a log position, excluded for {behind_s * 1000:.0f} ms more"
-    return ""
-
-
-def _load_fields(directory: DirectoryService, entry: TargetEntry, team: str) -> dict:
-    pool = directory.pool_by_id.get(entry.target_id)
-    load = pool.load if pool is not None else TargetLoad()
-    wait_s = pool.wait_s if pool is not None else 0.0
-    has_idle = pool is not None and pool.has_idle(team)
-    is_local = entry.domain == directory.domain
-    expected_s = load.expected_s(now_s(), is_local=is_local) + wait_s
-    expected_s += 0.0 if has_idle else HANDSHAKE_COST_S
-    return {
-        "waiting": pool.waiting if pool is not None else 0,
-        "wait_s": round(wait_s, 4),
-        "expected_s": round(expected_s, 4),
-        "has_idle": has_idle,
-    }
-
-
-def _mark_choice(candidates: list[Candidate]) -> list[Candidate]:
-    usable = [candidate for candidate in candidates if candidate.is_usable]
-    # The chooser lists the primary last, so a replica wins a tie.
-    usable.sort(key=lambda candidate: candidate.role == "primary")
-    chosen = min(usable, key=lambda candidate: candidate.expected_s, default=None)
-    marked = []
-    for candidate in candidates:
-        reason = candidate.reason
-        if chosen is not None and candidate is chosen:
-            reason = (
-                "the lowest expected time"
-                if len(usable) > 1
-                else "the only one that can be used"
-            )
-        elif chosen is not None and candidate.is_usable:
-            slower_ms = (candidate.expected_s - chosen.expected_s) * 1000
-            reason = f"{slower_ms:.0f} ms slower than {chosen.target}"
-        marked.append(
-            msgspec.structs.replace(
-                candidate, is_chosen=candidate is chosen, reason=reason
-            )
-        )
-    return marked
-
-
 def _format(position: LogPosition | None) -> str:
     return "" if position is None else f"{position.term}:{position.index}"
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/route_explanation.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/route_explanation.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -15,6 +16,7 @@
 from guavabarrow_core.session_configuration import Consistency
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.rate_service import RateService
+from guavabarrow_daemon.fleet.service_hosts import ServiceHosts
 from guavabarrow_daemon.front.session_admission import ANONYMOUS_TEAM
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.route_candidates import (
@@ -118,6 +120,9 @@
         The VM that answers, and the route that was found.
     max_age_s : float
         Maximum age of a read's data, in s.
+    host : str
+        VM that runs the statement for this one, and decides by its own view; empty if
+        this VM runs it itself.
     admission : AdmissionView
         Admission by rate.
     evacuated : list of str
@@ -137,6 +142,7 @@
     kind: str
     consistency: str
     max_age_s: float
+    host: str
     admission: AdmissionView
     evacuated: list[str]
     candidates: list[Candidate]
@@ -165,11 +171,10 @@
     candidates = collect_candidates(
         kernel,
         CandidateQuery(
-            service=route.service,
+            route=replace(route, max_age_s=max_age_s),
             team=team,
             needs_primary=query.kind != "read"
             or route.consistency is Consistency.PRIMARY,
-            max_age_s=max_age_s,
             session_position=parse_position(query.position),
         ),
     )
@@ -182,6 +187,7 @@
         kind=query.kind,
         consistency=route.consistency.value,
         max_age_s=max_age_s,
+        host=kernel.find(ServiceHosts).host_of(route.service),
         admission=_explain_admission(kernel, team),
         evacuated=sorted(fleet.evacuated),
         candidates=candidates,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/pool_serving.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/pool_serving.py
@@ -99,7 +99,8 @@
         super().__init__(pool)
         pool.waiters.set_shared(False)
         pool.waiters.max_length = MAX_WAITERS
-        pool.window = SendWindow(MAX_WINDOW, pool.window.size)
+        if isinstance(pool.window, SendWindow):
+            pool.window = SendWindow(MAX_WINDOW, pool.window.size)
 
     def expected_wait_s(self, team: str, priority: int) -> float:
         """Return the expected wait behind all waiting statements, in s."""
@@ -168,9 +169,9 @@
         super().__init__(pool)
         pool.waiters.set_shared(True)
         pool.waiters.max_length = MAX_HOST_WAITERS
-        pool.window = SendWindow(
-            MAX_HOST_WINDOW, min(MAX_HOST_WINDOW, pool.window.size)
-        )
+        if isinstance(pool.window, SendWindow):
+            size = min(MAX_HOST_WINDOW, pool.window.size)
+            pool.window = SendWindow(MAX_HOST_WINDOW, size)
         self._checked_at = float("-inf")
 
     def expected_wait_s(self, team: str, priority: int) -> float:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
@@ -22,14 +22,16 @@
     PoolLimits,
 )
 from guavabarrow_core.exceptions import SessionError
-from guavabarrow_core.send_window import SendWindow
+from guavabarrow_core.paced_load import PacedLoad, PacedWindow
+from guavabarrow_core.send_window import ConcurrencyWindow, SendWindow
 from guavabarrow_core.session_messages import FailureCode, OpenSession
 from guavabarrow_core.statement_queue import (
     QueuedStatement,
     RefusalReason,
     StatementQueue,
 )
-from guavabarrow_core.target_load import TargetLoad
+from guavabarrow_core.target_load import LoadEstimate, TargetLoad
+from guavabarrow_core.target_pace import TargetPace
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.targets.connection_set import ConnectionSet
@@ -108,8 +110,8 @@
         count_eviction: Callable[[], None] = lambda: None,
     ) -> None:
         self.entry = entry
-        self.load = TargetLoad()
-        self.window = SendWindow(MAX_WINDOW, INITIAL_WINDOW)
+        self.load: LoadEstimate = TargetLoad()
+        self.window: ConcurrencyWindow = SendWindow(MAX_WINDOW, INITIAL_WINDOW)
         self.budget = ConnectionBudget(PoolLimits(1, 4))
         self.weight_of: Callable[[str], float] = lambda team: 1.0
         self.running_count = 0
@@ -185,6 +187,24 @@
         """Expected interval between two statements that the target serves, in s."""
         return self.window.wait_s(1, self.load.response_s)
 
+    @property
+    def in_flight(self) -> int:
+        """Statements that were sent to the target and not answered."""
+        return self.running_count
+
+    def set_paced(self, is_paced: bool) -> None:
+        """Use a learned limit, or the window of a VM that decides alone."""
+        if isinstance(self.window, PacedWindow) == is_paced:
+            return
+        running = self.load.running
+        if is_paced:
+            pace = TargetPace(self.entry.slots)
+            self.window, self.load = PacedWindow(pace), PacedLoad(pace)
+        else:
+            self.window = SendWindow(MAX_WINDOW, INITIAL_WINDOW)
+            self.load = TargetLoad()
+        self.load.running = running
+
     def begin_statement(self) -> None:
         """Increment the number of running statements."""
         self.running_count += 1
