Explain where a statement would go: guavabarrow route

Cause: operators couldn't see why a statement goes to one target and not to another, or is refused, without sending one.

Change: POST /route on the metrics address and the command `guavabarrow route` show admission by rate, evacuated domains, and each target of the service with role, freshness, queue, connection, expected time and the reason why it is chosen or not. No token is taken, no pool created, nothing sent. Candidates are collected behind one function until TargetChooser returns them itself.

--- a/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/main.py
@@ -19,6 +19,7 @@
 from guavabarrow_cli.commands.load_command import load
 from guavabarrow_cli.commands.replay_command import replay
 from guavabarrow_cli.commands.report_command import ReportCommand
+from guavabarrow_cli.commands.route_command import route
 from guavabarrow_cli.commands.standin_commands import StandinCommand
 from guavabarrow_cli.commands.vm_commands import StatusCommand, VmCommand
 
@@ -33,6 +34,7 @@
     "load": load,
     "replay": replay,
     "report": ReportCommand,
+    "route": route,
     "standin": StandinCommand,
     "status": StatusCommand,
     "target": TargetCommand,
--- a/packages/guavabarrow-core/src/guavabarrow_core/pooled_rate_limiter.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/pooled_rate_limiter.py
@@ -237,6 +237,18 @@
         prefetched.tokens -= 1.0
         return AdmissionDecision.ADMITTED
 
+    def tokens(self, team: str, now: float) -> float | None:
+        """Return a team's tokens, without taking one; None if it has no limit."""
+        if team not in self._rate_by_team:
+            return None
+        self._reserved_as_of = now
+        if self.pool is not None or not self.host:
+            return (self.pool or self.local).tokens(team, now)
+        prefetched = self._prefetched_by_team.get(team)
+        if prefetched is None or now - prefetched.granted_at > PREFETCHED_TTL_S:
+            return 0.0
+        return prefetched.tokens
+
     def tokens_to_request(self, team: str, now: float) -> int:
         """Return the number of tokens to request from the host."""
         return 1 + int(self.local.local_demand_per_s(team, now) * PREFETCH_S)
--- a/packages/guavabarrow-core/src/guavabarrow_core/rate_limiter.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/rate_limiter.py
@@ -441,6 +441,20 @@
         bucket.tokens -= 1.0
         return True
 
+    def tokens(self, team: str, now: float) -> float:
+        """Return the tokens that a team has now, without taking one or refilling."""
+        rate = self._rate_by_team[team]
+        share = self.share(team)
+        bucket = self._bucket_by_team.get(team)
+        if bucket is not None:
+            tokens, refilled_at = bucket.tokens, bucket.refilled_at
+        elif self.emptied_at is None:
+            return self._burst(team, rate, share, INITIAL_BURST_S)
+        else:
+            tokens, refilled_at = 0.0, self.emptied_at
+        refill = max(0.0, now - refilled_at) * self._refill_per_s(rate, share)
+        return min(self._burst(team, rate, share), tokens + refill)
+
     def count(self, team: str, now: float) -> None:
         """Record the demand of an operation that another limiter admits."""
         rate = self._rate_by_team.get(team)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
@@ -52,6 +52,10 @@
         """Exclude a replica for ``BEHIND_PAUSE_S`` because it lacked a log position."""
         self._behind_until[target_id] = now_s() + BEHIND_PAUSE_S
 
+    def behind_s(self, target_id: str) -> float:
+        """Return how long a replica that lacked a log position stays excluded, in s."""
+        return max(0.0, self._behind_until.get(target_id, 0.0) - now_s())
+
     async def choose_read_target(
         self, context: StatementContext, failed: set[str]
     ) -> tuple[SessionPool, LogPosition | None]:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/readiness_site.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/readiness_site.py
@@ -7,9 +7,16 @@
 import msgspec
 
 from guavabarrow_daemon.front.session_front import SessionFront
-from guavabarrow_daemon.http.site import Routes, TrackedSite, answer
+from guavabarrow_daemon.http.site import Routes, TrackedSite, answer, answer_json
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.beliefs import read_local_view
+from guavabarrow_daemon.operations.decision_log import log_decision
+from guavabarrow_daemon.operations.route_explanation import (
+    RouteProblem,
+    RouteQuery,
+    RouteQueryError,
+    explain_route,
+)
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 from guavabarrow_daemon.session_settings import SessionVmSettings, split_address
 
@@ -18,6 +25,29 @@
 
 METRICS_PATH = "/metrics"
 BELIEFS_PATH = "/beliefs"
+ROUTE_PATH = "/route"
+"""Explains a route; the query is the body, because a path with a key may be logged."""
+
+
+def answer_route(request: Request, kernel: Kernel) -> None:
+    """Answer a query for the explanation of a route.
+
+    Parameters
+    ----------
+    request : Request
+        Request whose body is a :class:`RouteQuery` as JSON.
+    kernel : Kernel
+        Services of the VM.
+    """
+    try:
+        query = msgspec.json.decode(request.content.read(), type=RouteQuery)
+        answer_json(request, 200, explain_route(kernel, query))
+    except msgspec.MsgspecError as error:
+        log_decision("route_query_refused", code="malformed", detail=str(error))
+        answer_json(request, 400, RouteProblem("malformed", str(error)))
+    except RouteQueryError as error:
+        log_decision("route_query_refused", code=error.code, detail=str(error))
+        answer_json(request, error.status, RouteProblem(error.code, str(error)))
 
 
 class ReadinessSite(Service):
@@ -54,12 +84,16 @@
         async def serve_local_view(request: Request) -> None:
             answer(request, 200, msgspec.json.encode(read_local_view(self.kernel)))
 
+        async def serve_route(request: Request) -> None:
+            answer_route(request, self.kernel)
+
         host, port = split_address(self._settings.ready_address)
         self._listen(host, port, {self._ready_path: serve_readiness})
         self._listen(
             self._settings.host,
             self._settings.metrics_port,
             {METRICS_PATH: serve_metrics, BELIEFS_PATH: serve_local_view},
+            {ROUTE_PATH: serve_route},
         )
 
     async def stop(self) -> None:
@@ -67,10 +101,18 @@
         for port in self._ports:
             port.stopListening()
 
-    def _listen(self, host: str, port: int, handler_by_path: dict[str, Any]) -> None:
+    def _listen(
+        self,
+        host: str,
+        port: int,
+        handler_by_path: dict[str, Any],
+        posted_by_path: dict[str, Any] | None = None,
+    ) -> None:
         routes = Routes()
         for path, handler in handler_by_path.items():
             routes.add("GET", path, handler)
+        for path, handler in (posted_by_path or {}).items():
+            routes.add("POST", path, handler)
         self._ports.append(
             self._reactor.listenTCP(port, TrackedSite(routes), interface=host)
         )
