--- a/packages/guavabarrow-core/src/guavabarrow_core/share_lease.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/share_lease.py
@@ -144,8 +144,10 @@
     Examples
     --------
     >>> clock = ArrivalClock()
-    >>> clock.undelayed(sent_s=100.0, now=5.0), clock.undelayed(sent_s=100.7, now=7.0)
-    (5.0, 5.70014...)
+    >>> clock.undelayed(sent_s=100.0, now=5.0)
+    5.0
+    >>> round(clock.undelayed(sent_s=100.7, now=7.0), 2)
+    5.7
     """
 
     _offset_s: float = float("inf")
--- a/packages/guavabarrow-core/tests/test_share_lease.py
+++ b/packages/guavabarrow-core/tests/test_share_lease.py
@@ -197,3 +197,15 @@
     for second in range(3600):
         arrived_at = clock.undelayed(second * (1 - 1e-4), float(second))
     assert arrived_at == pytest.approx(3599.0, abs=0.01)
+
+
+def test_the_share_reserved_for_a_late_vm_is_not_recorded_anew():
+    """Guards against reserving less than the VM uses, by demand it never learned."""
+    rates = create("vm-1")
+    rates.local.update_peer_demand("vm-0", {TEAM: 10.0}, 0.0)
+    rates.local.update_peer_demand("vm-2", {TEAM: 10.0}, 0.0)
+    rates.local.publish_demand(0.1)
+    reserved = rates.local.share_of(["vm-0"], TEAM)
+    rates.local.update_peer_demand("vm-2", {TEAM: 90.0}, 1.0)
+    rates.local.publish_demand(1.0)
+    assert rates.local.share_of(["vm-0"], TEAM) == pytest.approx(reserved)
