--- a/packages/guavabarrow-core/src/guavabarrow_core/target_ranking.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_ranking.py
@@ -24,10 +24,10 @@
     PROBED = "fails too often, and no probe is due"
     FAILED_BEFORE = "failed this statement before"
     BEHIND = "lacked a log position a moment ago"
-    NO_POSITION = "no recent observation of the primary, so freshness is unknown"
-    PRIMARY_ONLY = "the route reads at the primary"
-    DRAINING = "accepts no new work"
-    EVACUATED = "its failure domain is evacuated"
+    NO_POSITION = "no observation of the primary is young enough to judge freshness"
+    PRIMARY_ONLY = "the statement needs the primary"
+    DRAINING = "draining"
+    EVACUATED = "its domain is evacuated"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/route_candidates.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/route_candidates.py
@@ -160,6 +160,9 @@
     if candidate.verdict is Verdict.SLOWER and chosen is not None:
         slower_ms = (candidate.expected_s - chosen.expected_s) * 1000
         return f"{slower_ms:.0f} ms slower than {chosen.target_id}"
+    if candidate.verdict is Verdict.BEHIND:
+        behind_s = kernel.find(TargetChooser).behind_s(candidate.target_id)
+        return f"lacked a log position, excluded for {behind_s * 1000:.0f} ms more"
     return candidate.verdict.value
 
 
--- a/packages/guavabarrow-daemon/tests/test_pace_service.py
+++ b/packages/guavabarrow-daemon/tests/test_pace_service.py
@@ -113,7 +113,7 @@
     def __init__(self) -> None:
         self.entry = SimpleNamespace(target_id="t1", slots=5)
         self.window = self.load = None
-        self._running_count = 0
+        self.running_count = 0
         self.set_paced(True)
 
     def set_paced(self, is_paced: bool) -> None:
@@ -121,7 +121,7 @@
         super().set_paced(is_paced)
 
     def end_statement(self) -> None:
-        self._running_count -= 1
+        self.running_count -= 1
 
     def release(self, connection) -> None:
         pass
@@ -150,6 +150,7 @@
     """Load: BEGIN is fast, and a replica that lags says so at once."""
     kernel = SimpleNamespace(find=lambda service: service)
     exchange = TargetExchange.__new__(TargetExchange)
+    exchange.on_sent = []
     exchange._reactor = Clock()
     exchange._metrics = SessionMetrics(kernel)
     exchange._primary_service = None
--- a/packages/guavabarrow-daemon/tests/test_route_explanation.py
+++ b/packages/guavabarrow-daemon/tests/test_route_explanation.py
@@ -20,6 +20,7 @@
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.fleet.rate_service import RateService
+from guavabarrow_daemon.fleet.service_hosts import ServiceHosts
 from guavabarrow_daemon.front.target_chooser import TargetChooser
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.route_explanation import (
@@ -48,6 +49,7 @@
         self.kernel = fleet.vm_by_name["east-0"].kernel
         self.chooser = TargetChooser(self.kernel, None)
         self.kernel.register(self.chooser)
+        self.kernel.register(ServiceHosts(self.kernel, None))
         self.fleet = self.kernel.find(FleetService)
         self.fleet.configuration = CONFIGURATION
         self.rates = self.kernel.find(RateService).rates
--- a/packages/guavabarrow-daemon/tests/test_service_host_failures.py
+++ b/packages/guavabarrow-daemon/tests/test_service_host_failures.py
@@ -83,12 +83,12 @@
     assert fleet.execute(transaction, "COMMIT") == "aborted"
     second = fleet.host()
     assert second != host
-    assert fleet.find(second, FleetService).host_plan.is_host(SERVICE)
+    assert fleet.find(second, FleetService).host_selection.is_host(SERVICE)
     assert fleet.counted("east-3", "host_bypasses", reason="silent") == 1
     fleet.network.suspended.clear()
     fleet.run(BYPASS_S + 1.0)
     assert fleet.host() == host
-    assert not fleet.find(second, FleetService).host_plan.is_host(SERVICE)
+    assert not fleet.find(second, FleetService).host_selection.is_host(SERVICE)
     assert fleet.router(host).open_count == 0
 
 
--- a/packages/guavabarrow-daemon/tests/test_target_chooser.py
+++ b/packages/guavabarrow-daemon/tests/test_target_chooser.py
@@ -138,7 +138,7 @@
         if rng.random() < 0.1:
             pool.load.record_failure(NOW - 0.2)
         if rng.random() < 0.5:
-            pool._idle.append(FakeConnection())
+            pool.held.add_idle(FakeConnection(), NOW)
         if rng.random() < 0.2:
             world.chooser.mark_behind(target_id)
         if rng.random() < 0.1:
--- a/packages/guavabarrow-daemon/tests/test_usage_counting.py
+++ b/packages/guavabarrow-daemon/tests/test_usage_counting.py
@@ -55,8 +55,14 @@
 
 class FakePool:
     entry = SimpleNamespace(target_id="t1")
-    load = SimpleNamespace(record=lambda *a: None, record_failure=lambda *a: None)
-    window = SimpleNamespace(on_answer=lambda *a: None, on_refused=lambda: None)
+    in_flight = 0
+    load = SimpleNamespace(
+        record=lambda *a: None,
+        record_failure=lambda *a: None,
+        record_failed_answer=lambda *a: None,
+        record_timeout=lambda *a: None,
+    )
+    window = SimpleNamespace(on_answer=lambda *a: None, on_refused=lambda *a: None)
 
     def begin_statement(self) -> None:
         pass
