Make the test of a team at ten times its rate notice fair queueing

Cause: with 95 operations a second on four slots the flood left slots free, so the test passed in order of arrival too.

Change: 110 operations a second of 20 equal teams, one of them at ten times its rate.

--- a/packages/guavabarrow-daemon/tests/test_host_load.py
+++ b/packages/guavabarrow-daemon/tests/test_host_load.py
@@ -80,7 +80,7 @@
 def test_a_team_at_ten_times_its_rate_costs_the_others_little(monkeypatch, seed):
     """Overload: one of 20 equal teams sends ten times its rate."""
     teams = tuple(f"team-{number}" for number in range(20))
-    route = RouteLoad(95, 0.024, 1, 0.401, 2.006, teams, zipf=0)
+    route = RouteLoad(110, 0.024, 1, 0.401, 2.006, teams, zipf=0)
     flood = RouteLoad(50, 0.024, 1, 0.401, 2.006, ("team-0",), zipf=0)
     shares = []
     for is_flooded in (False, True):
