--- a/packages/guavabarrow-cli/src/guavabarrow_cli/commands/route_command.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/commands/route_command.py
@@ -75,11 +75,8 @@
         f"admission: {admission.decision}, {tokens}, next in {admission.wait_s:g} s, "
         f"pool {admission.pool_host or 'none'} ({admission.detail})"
     )
-<<<<<<< HEAD
     if view.host:
         print_line(f"host: {view.host} runs it and decides by its own view")
-=======
->>>>>>> part-rates
     print_line(f"evacuated: {' '.join(view.evacuated) or 'none'}")
     print_line(f"choice: {view.choice or 'none'}, {view.why}")
     print_line("")
