--- a/packages/guavabarrow-core/tests/test_target_pace.py
+++ b/packages/guavabarrow-core/tests/test_target_pace.py
@@ -75,7 +75,7 @@
     _, fixed_per_s = simulate_knee(seed, is_learned=False)
     assert limits_between(sim, "p", 8.0, 12.0).mean() < 5.0
     assert limits_between(sim, "p", 14.0, 16.0).mean() > 5.0
-    assert learned_per_s > 1.1 * fixed_per_s
+    assert learned_per_s > 1.25 * fixed_per_s
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -139,9 +139,9 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-@pytest.mark.parametrize("per_s", [10.0, 20.0])
+@pytest.mark.parametrize("per_s", [10.0, 20.0, 61.0])
 def test_the_limit_is_steady_under_steady_load(seed, per_s):
-    """Load: a dozen to sixty statements a second, 2% of them six times longer."""
+    """Load: 30 to 183 statements a second, the latter 0.8 of what the target runs."""
     sim = Sim([Target("p")], [Flow(WRITE, 0.02, per_s, ("p",))], seed=seed)
     sim.run(25.0)
     limits = limits_between(sim, "p", 5.0, 25.0)
