Show hosts, queues, limits and usage windows in the local view

Cause: operators could not see by service and priority who waits, who is refused and why, where the statements of a service run, or which usage windows are open; only log lines and counters told.

Change: the local view has the hosted services, the pools' state, the limits of their targets and the state of the usage reports; 'guavabarrow beliefs' prints them.

--- a/packages/guavabarrow-cli/src/guavabarrow_cli/commands/beliefs_command.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/commands/beliefs_command.py
@@ -82,6 +82,91 @@
             for t in view.targets
         ],
     )
+    _print_load(view)
+
+
+def _print_load(view: LocalView) -> None:
+    """Print service hosts, queues, connections and limits, and usage reports."""
+    if view.hosted_services:
+        print_line("")
+        print_table(
+            ("service", "host", "statements", "transactions", "of"),
+            [
+                (
+                    s.service,
+                    f"{s.host} (this VM)" if s.is_host else s.host,
+                    s.statements,
+                    s.transactions,
+                    " ".join(s.origins),
+                )
+                for s in view.hosted_services
+            ],
+        )
+    limit_by_target = {limit.target: limit for limit in view.limits}
+    if view.pools:
+        print_line("")
+        print_table(
+            (
+                "target",
+                "limit",
+                "running",
+                "waiting",
+                "refused",
+                "budget",
+                "open",
+                "idle",
+                "state",
+            ),
+            [
+                (
+                    p.target,
+                    f"{limit_by_target[p.target].window:g}",
+                    p.running,
+                    describe_counts(p.waiting_by_priority),
+                    describe_refusals(p.refused_by_priority),
+                    p.budget,
+                    p.open,
+                    p.idle,
+                    "probed" if limit_by_target[p.target].is_probed else "normal",
+                )
+                for p in view.pools
+            ],
+        )
+    if view.usage is not None:
+        usage = view.usage
+        print_line("")
+        print_line(
+            f"usage: window {usage.current_window}, last reported "
+            f"{usage.last_window or 'none'} by {usage.last_holder or 'nobody known'}, "
+            f"not accepted yet {len(usage.unsent_windows)}, "
+            f"missing {' '.join(usage.missing_domains) or 'none'}"
+        )
+
+
+def describe_counts(count_by_priority: dict[int, int]) -> str:
+    """Return counts by priority as text.
+
+    Examples
+    --------
+    >>> describe_counts({0: 2, 2: 7})
+    '0:2 2:7'
+    """
+    return " ".join(f"{priority}:{n}" for priority, n in count_by_priority.items())
+
+
+def describe_refusals(refused_by_priority: dict[int, dict[str, int]]) -> str:
+    """Return refusals by priority and reason as text.
+
+    Examples
+    --------
+    >>> describe_refusals({2: {"queue_full": 3}})
+    '2:queue_full=3'
+    """
+    return " ".join(
+        f"{priority}:{reason}={n}"
+        for priority, count_by_reason in refused_by_priority.items()
+        for reason, n in count_by_reason.items()
+    )
 
 
 def describe_contact(member: MemberView) -> str:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/beliefs.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/beliefs.py
@@ -14,7 +14,11 @@
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.fleet.rate_service import RateService
+from guavabarrow_daemon.front.service_host_service import ServiceHostService
+from guavabarrow_daemon.kernel import UnknownService
 from guavabarrow_daemon.operations.clock import now_s
+from guavabarrow_daemon.targets.pool_view import PoolView
+from guavabarrow_daemon.usage.reporting_service import UsageReporting, UsageStatus
 
 if TYPE_CHECKING:
     from guavabarrow_daemon.kernel import Kernel
@@ -53,6 +57,49 @@
     evidence: str
 
 
+class HostedServiceView(msgspec.Struct, frozen=True):
+    """Where the statements of a service run.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    host : str
+        VM that runs this VM's statements; its own name if it does so itself.
+    is_host : bool
+        Whether this VM runs statements for others.
+    statements, transactions : int
+        Running statements and open transactions of other VMs.
+    origins : list of str
+        The VMs that they come from.
+    """
+
+    service: str
+    host: str
+    is_host: bool
+    statements: int
+    transactions: int
+    origins: list[str]
+
+
+class TargetLimitView(msgspec.Struct, frozen=True):
+    """Concurrency limit of a target at this VM.
+
+    Parameters
+    ----------
+    target : str
+        The target.
+    window : float
+        Statements that this VM may run at once.
+    is_probed : bool
+        Whether the target fails so often that it only gets probes.
+    """
+
+    target: str
+    window: float
+    is_probed: bool
+
+
 class LocalView(msgspec.Struct, frozen=True):
     """Cached state that determines how a VM routes statements.
 
@@ -79,6 +126,14 @@
     pool_host : str
         VM whose token pool limits the teams' rates, empty if this VM uses its own
         share.
+    hosted_services : list of HostedServiceView
+        Services whose statements one VM of each failure domain runs.
+    pools : list of PoolView
+        Connections and queues of the targets that this VM has used.
+    limits : list of TargetLimitView
+        Concurrency limits of these targets.
+    usage : UsageStatus or None
+        State of the usage reports, None if the settings don't ask for any.
     """
 
     vm: str
@@ -96,6 +151,10 @@
     targets: list[TargetView]
     sponsor: str = ""
     hubs: dict[str, list[str]] = {}
+    hosted_services: list[HostedServiceView] = []
+    pools: list[PoolView] = []
+    limits: list[TargetLimitView] = []
+    usage: UsageStatus | None = None
 
 
 def read_local_view(kernel: Kernel) -> LocalView:
@@ -153,4 +212,35 @@
             )
             for entry in directory.entries()
         ],
+        hosted_services=_read_hosted_services(kernel),
+        pools=[pool.describe() for _, pool in sorted(directory.pool_by_id.items())],
+        limits=[
+            TargetLimitView(target_id, round(pool.window.size, 2), pool.load.is_probed)
+            for target_id, pool in sorted(directory.pool_by_id.items())
+        ],
+        usage=_read_usage(kernel),
     )
+
+
+def _read_hosted_services(kernel: Kernel) -> list[HostedServiceView]:
+    overview = kernel.find(ServiceHostService).overview()
+    return [
+        HostedServiceView(
+            service,
+            status.host,
+            status.is_host,
+            status.statements,
+            status.transactions,
+            list(status.origins),
+        )
+        for service, status in sorted(overview.items())
+        if status.is_hosted
+    ]
+
+
+def _read_usage(kernel: Kernel) -> UsageStatus | None:
+    try:
+        return kernel.find(UsageReporting).status()
+    except UnknownService:
+        # Registered only where the settings name the duty.
+        return None
--- a/tests/platform_adapter/test_hosted_service.py
+++ b/tests/platform_adapter/test_hosted_service.py
@@ -12,6 +12,8 @@
 import pytest
 from local_deployment import Caller, wait_for
 
+from guavabarrow_cli.commands.beliefs_command import beliefs, fetch_local_view
+
 if TYPE_CHECKING:
     from local_deployment import LocalDeployment, Vm
 
@@ -57,6 +59,21 @@
     return 0.0
 
 
+def test_the_local_view_shows_hosts_and_queues(fleet, capsys):
+    """Guards against operators who can't see where the statements of a service run."""
+    host = find_host(fleet)
+    other = next(vm for vm in fleet.vms if vm is not host)
+    for vm in (host, other):
+        view = fetch_local_view(f"127.0.0.1:{vm.metrics_port}")
+        assert [service.host for service in view.hosted_services] == [host.name]
+        assert [service.is_host for service in view.hosted_services] == [vm is host]
+    pools = fetch_local_view(f"127.0.0.1:{host.metrics_port}").pools
+    assert pools
+    assert all(pool.is_host and pool.budget >= 1 for pool in pools)
+    beliefs(f"127.0.0.1:{host.metrics_port}")
+    assert f"{host.name} (this VM)" in capsys.readouterr().out
+
+
 def test_sessions_of_all_vms_share_the_connections_of_the_host(fleet):
     """Load: each VM opened connections of its own until the target refused them."""
     host = find_host(fleet)
--- a/tests/platform_adapter/test_usage.py
+++ b/tests/platform_adapter/test_usage.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from guavabarrow_cli.commands.beliefs_command import fetch_local_view
 from guavabarrow_daemon.store.watched_table import (
     UsageReportRefused,
     UsageReportUnanswered,
@@ -62,6 +63,10 @@
     windows = [report.window for report in store.usage_reports]
     assert windows == sorted(set(windows))
     assert abs(windows[-1] - time.time() / USAGE_WINDOW_S) < 8.0
+    status_of_vms = [
+        fetch_local_view(f"127.0.0.1:{vm.metrics_port}").usage for vm in vms
+    ]
+    assert windows[-1] in [status.last_window for status in status_of_vms if status]
     assert 'usage_reports_total{result="done",step="send"}' in (
         vms[0].metrics() + vms[1].metrics()
     )
