--- a/packages/guavabarrow-core/src/guavabarrow_core/service_host.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/service_host.py
@@ -14,6 +14,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from guavabarrow_core.connection_budget import RESERVED_CONNECTIONS
 from guavabarrow_core.rendezvous import rank_members
 
 if TYPE_CHECKING:
@@ -22,9 +23,6 @@
     from guavabarrow_core.fleet_state import MemberRow
     from guavabarrow_core.session_configuration import ServiceLimits
 
-RESERVED_CONNECTIONS = 2
-"""Connections of each target kept free for joining VMs and status queries."""
-
 MIN_SHARE = 2
 """Connections to a target per VM below which a service is hosted. A VM with two can
 keep one for a transaction and still run single statements."""
