Wait for the marking of a usage window in the test of the local view

The stand-in had accepted a window that the VM had not yet marked as reported; the mark is a write to the store after the call. Load was ruled out as the cause: the order of call and mark allows the case at any time. Change: the test waits until a view shows that window, and demands that the window shown is one that the stand-in accepted, which the former check didn't.

--- a/tests/platform_adapter/test_usage.py
+++ b/tests/platform_adapter/test_usage.py
@@ -22,6 +22,7 @@
 from guavabarrow_platform.usage_client import PlatformUsageClient
 
 if TYPE_CHECKING:
+    from local_deployment import Vm
     from standin_platform import StandInStore
 
 
@@ -40,6 +41,12 @@
     return len(single) + len(commits)
 
 
+def last_window_shown(vms: list[Vm]) -> int:
+    """Return the newest reported window in the local views of VMs."""
+    views = [fetch_local_view(f"127.0.0.1:{vm.metrics_port}") for vm in vms]
+    return max(view.usage.last_window for view in views if view.usage)
+
+
 @pytest.mark.processes
 def test_the_operations_of_a_team_are_reported_once(deployment):
     """Guards against counts of BEGIN, of each statement of a transaction, and of what
@@ -63,10 +70,12 @@
     windows = [report.window for report in store.usage_reports]
     assert windows == sorted(set(windows))
     assert abs(windows[-1] - time.time() / USAGE_WINDOW_S) < 8.0
-    status_of_vms = [
-        fetch_local_view(f"127.0.0.1:{vm.metrics_port}").usage for vm in vms
-    ]
-    assert windows[-1] in [status.last_window for status in status_of_vms if status]
+    # A window is marked as reported by a write to the store after its acceptance.
+    wait_for(
+        lambda: last_window_shown(vms) >= windows[-1], "the view shows the last window"
+    )
+    shown = last_window_shown(vms)
+    assert shown in [report.window for report in store.usage_reports]
     assert 'usage_reports_total{result="done",step="send"}' in (
         vms[0].metrics() + vms[1].metrics()
     )
