--- a/review/harness/databases.py
+++ b/review/harness/databases.py
@@ -11,8 +11,10 @@
 import threading
 import time
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from harness.store import Platform
+if TYPE_CHECKING:
+    from harness.store import Platform
 
 HEARTBEAT_S = 1.2
 QUEUE_LENGTH = 24
