--- a/review/3/case.py
+++ b/review/3/case.py
@@ -108,11 +108,12 @@
         )
         is_planned = 0 <= after_s <= BOUNDS["GraceS"] + 1
         if not request.is_whole and request.request in ran_at and is_planned:
+            began_s = ran_at[request.request] - signalled_at
+            ended_s = request.ended_at - signalled_at
             record.say(
-                f"{request.request} {request.text}: sent {after_s:.3f} s after SIGTERM, "
-                f"began to run {ran_at[request.request] - signalled_at:.3f} s after it, "
-                f"connection ended {request.ended_at - signalled_at:.3f} s after it "
-                "without an answer"
+                f"{request.request} {request.text}: sent {after_s:.3f} s after it, "
+                f"began to run {began_s:.3f} s after SIGTERM, connection ended without "
+                f"an answer {ended_s:.3f} s after it"
             )
             if after_s > FIRST_S:
                 lost.append(request)
--- a/review/harness/databases.py
+++ b/review/harness/databases.py
@@ -172,6 +172,9 @@
         All statements of consumers that ran.
     promoted : list of tuple
         Time, database and log of each promotion that took effect.
+    executed : list of tuple
+        Time, database, request and text of each EXECUTE, and the mode and shape that
+        its name stands for on the connection, None if it is unknown.
     work_s : callable
         Returns the time that a statement works, by its keyword.
     """
@@ -197,6 +200,7 @@
         self.changed = threading.Condition(threading.RLock())
         self.ran: list[Ran] = []
         self.promoted: list[tuple[float, str, list[Entry]]] = []
+        self.executed: list[tuple[float, str, str, str, str | None]] = []
         self.databases: list[Database] = []
         for number, zone in enumerate(zones):
             self.databases.append(Database(self, f"i-{name}-{number}", zone, slots))
@@ -386,9 +390,14 @@
                 self._end()
             return [], f"ERROR MALFORMED {database.name}"
         if keyword == "EXECUTE":
-            if item not in self._shapes:
+            prepared = self._shapes.get(item)
+            shape = None if prepared is None else " ".join(prepared)
+            service.executed.append(
+                (time.monotonic(), database.name, request, text, shape)
+            )
+            if prepared is None:
                 return [], f"ERROR NOSTMT {database.name}"
-            keyword = self._shapes[item][0]
+            keyword = prepared[0]
             item, _, data = data.partition(" ")
         if keyword not in ("READ", "WRITE", "COMMIT"):
             return [], f"ERROR MALFORMED {database.name}"
