--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -4,18 +4,33 @@
 
 import base64
 import json
+import random
 import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
+_FIRST_PORT, _LAST_PORT = 10000, 29999
+"""Below the ports that outgoing connections get, so that none of them takes a port
+between the choice and the start of a process, or while the process is down."""
+
+_taken: set[int] = set()
+
 
 def free_port() -> int:
-    """Return an unused TCP port of the loopback address."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return an unused TCP port of the loopback address, each one once."""
+    while True:
+        port = random.randint(_FIRST_PORT, _LAST_PORT)
+        if port in _taken:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
 
 
 class _Server(ThreadingHTTPServer):
