Record what the databases ran, and end the processes of a stopped script

The unreadable entry of case 2 has 40,000 brackets now, so that it doesn't depend on the recursion limit of one Python version.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,6 +85,7 @@
             wait_for(lambda: service.promoted, "a database is promoted")
         time.sleep(AFTER_S)
         is_over.set()
+        service.write_ran(record)
         return judge(service, acknowledged, record)
     finally:
         is_over.set()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,8 +18,8 @@
 )
 
 ZONES = ["dar-kariakoo", "dar-ubungo", "dar-temeke"]
-UNREADABLE = b'{"Version": ' + b"[" * 2000
-"""Cut off, so that it is no JSON; 2 KB of the 64 KB that a row may have."""
+UNREADABLE = b'{"Version": ' + b"[" * 40000
+"""Cut off, so that it is no JSON; 40 KB of the 64 KB that a row may have."""
 
 DOWN_S = 1.2
 REMOVED_AFTER_S = 8.0
@@ -90,6 +90,7 @@
             deployment.platform.put_bytes("servers", "other-writer", None)
         time.sleep(BOUNDS["RecoverS"] - REMOVED_AFTER_S + JUDGED_S)
         is_over.set()
+        service.write_ran(record)
         states = [vm.process.poll() for vm in deployment.vms]
         record.say(f"exit codes of the VMs (None: running): {states}")
         before = [done for at, done in answers if at < killed_at - 0.5]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -87,6 +87,7 @@
             stopped.signal(signal.SIGTERM)
         for thread in threads:
             thread.join(BOUNDS["GraceS"] + 12)
+        service.write_ran(record)
         return judge(service, sent, signalled_at, record)
     finally:
         deployment.stop()
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -51,6 +51,7 @@
                     f"{outcome} / {ready}"
                 )
                 time.sleep(0.02)
+        service.write_ran(record)
         return judge(service, shape_by_request, record)
     finally:
         deployment.stop()
--- a/review/harness/databases.py
+++ b/review/harness/databases.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from harness.deployment import Record
     from harness.store import Platform
 
 HEARTBEAT_S = 1.2
@@ -270,6 +271,15 @@
                 self.changed.wait(min(left, 0.05))
         return database.is_running
 
+    def write_ran(self, record: Record) -> None:
+        """Write all statements that ran into the record."""
+        for ran in list(self.ran):
+            record.write(
+                f"{ran.database} ran {ran.request} for {ran.tenant} on connection "
+                f"{ran.connection % 100000}: {ran.text}",
+                ran.at,
+            )
+
     def close(self) -> None:
         """End all databases."""
         for database in self.databases:
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -290,6 +291,8 @@
 
 def run_case(case, folder: Path) -> int:
     """Run a case and return the exit code of its script."""
+    # Ends the processes also if this script is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder / "record.txt")
     record.say(f"trouble: {'yes' if has_trouble() else 'no'}")
     try:
