Supervise background work, and decode foreign bytes with one typed error

Callers saw (review/2): a row with deeply nested brackets in the table of targets, then a restart of all VMs; every statement was refused with "No primary can be used now" for as long as the processes ran, and nothing was logged.

Cause: decode_entry raised RecursionError, which StoredDirectory.read does not catch (shown by decoding the row alone; an integer of more than 64 bits passes it and raises OverflowError when the list is encoded for other VMs). The exception ended the poll that DirectoryService started without an errback, for good. Eleven more loops and periodic calls were started the same way, and three flags stayed set if their task failed. Ruled out: the row's size (rows of 64 KB are read), the store (other tables were read on).

Change: decode_value raises UndecodableValue and nothing else; numbers and ports of an entry are bounded. BackgroundTasks of the kernel starts background work: failures are logged and counted, loops are restarted with growing pauses, periodic calls go on.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -5,8 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 from xxhash import xxh3_64_intdigest
 
 from guavabarrow_core.connection_budget import divide_connections
@@ -30,6 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.task import LoopingCall
+
     from guavabarrow_core.service_host import HostPlan
     from guavabarrow_daemon.fleet.fleet_service import HeartbeatDraft
     from guavabarrow_daemon.session_codec import TargetCodec
@@ -106,9 +107,11 @@
         """Start to poll the list."""
         self._fleet.heartbeat_fillers.append(self._fill_heartbeat)
         self._fleet.on_rows.append(self._on_rows)
-        Deferred.fromCoroutine(self._poll())
-        self._trim_loop = LoopingCall(self._trim)
-        self._trim_loop.clock = self._reactor
+        tasks = self.kernel.tasks
+        tasks.start_loop("directory_poll", self._poll, self._reactor)
+        self._trim_loop = tasks.create_periodic(
+            "directory_trim", self._trim, self._reactor
+        )
         self._trim_loop.start(TRIM_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
@@ -164,6 +167,7 @@
                 entry.service, priority, reason
             ).inc(),
             count_eviction=metrics.pool_evictions.labels(entry.service).inc,
+            tasks=self.kernel.tasks,
         )
         pool.weight_of = self._weight_of
         self.pool_by_id[entry.target_id] = pool
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -8,9 +8,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
-
 from guavabarrow_core.fleet_state import (
     DUTY_KEY,
     DUTY_LEASE_S,
@@ -30,6 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.task import LoopingCall
+
     from guavabarrow_daemon.fleet.fleet_service import HeartbeatDraft
 
 CHECK_INTERVAL_S = 0.1
@@ -115,8 +114,9 @@
         """Start the periodic checks."""
         self._fleet.on_rows.append(self._on_rows)
         self._fleet.heartbeat_fillers.append(self._fill_heartbeat)
-        self._check_loop = LoopingCall(self._check)
-        self._check_loop.clock = self._reactor
+        self._check_loop = self.kernel.tasks.create_periodic(
+            "duty_check", self._check, self._reactor
+        )
         self._check_loop.start(CHECK_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
@@ -319,13 +319,15 @@
 
         async def acquire() -> None:
             row = DutyRow(state.vm, state.incarnation)
-            written = await self._fleet.write(DUTY_KEY, row)
-            self._is_write_pending = False
-            self._holder_unreachable_since = None
+            try:
+                written = await self._fleet.write(DUTY_KEY, row)
+            finally:
+                self._is_write_pending = False
+                self._holder_unreachable_since = None
             if written is not None and written.is_applied:
                 self._activate(acts_in_s=acts_in_s)
 
-        Deferred.fromCoroutine(acquire())
+        self.kernel.tasks.start("duty_acquire", acquire())
 
     def _activate(self, *, acts_in_s: float) -> None:
         self._active_from = now_s() + acts_in_s
@@ -362,4 +364,6 @@
             if is_due and not member.is_out:
                 self._marked_at[vm] = now
                 out = replace(member, is_out=True)
-                Deferred.fromCoroutine(self._fleet.write(member_key(vm), out))
+                self.kernel.tasks.start(
+                    "member_mark", self._fleet.write(member_key(vm), out)
+                )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
 from guavabarrow_core.fleet_state import (
     SPONSORSHIP_S,
@@ -43,6 +42,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.task import LoopingCall
+
     from guavabarrow_core.session_configuration import SessionConfiguration
     from guavabarrow_daemon.session_settings import SessionVmSettings
     from guavabarrow_daemon.store.watched_table import (
@@ -201,10 +202,12 @@
         """Start watching both tables and sending heartbeats."""
         self._links.on_peer_message.append(self._on_message)
         self._links.on_peer_up.append(self._on_peer_up)
-        Deferred.fromCoroutine(self._watch_table())
-        Deferred.fromCoroutine(self._watch_orders())
-        self._heartbeat_loop = LoopingCall(self._send_heartbeat)
-        self._heartbeat_loop.clock = self._reactor
+        tasks = self.kernel.tasks
+        tasks.start_loop("table_watch", self._watch_table, self._reactor)
+        tasks.start_loop("orders_watch", self._watch_orders, self._reactor)
+        self._heartbeat_loop = tasks.create_periodic(
+            "heartbeat", self._send_heartbeat, self._reactor
+        )
         self._heartbeat_loop.start(HEARTBEAT_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/peer_links.py
@@ -10,13 +10,12 @@
 
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Factory
 from twisted.internet.protocol import connectionDone as CONNECTION_DONE
 from twisted.protocols.basic import Int32StringReceiver
 
+from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.fleet.fleet_messages import (
     DECODER,
     ENCODER,
@@ -79,8 +78,8 @@
     def stringReceived(self, data: bytes) -> None:  # noqa: N802
         """Decode and handle a message."""
         try:
-            message = DECODER.decode(data)
-        except msgspec.MsgspecError as error:
+            message = decode_value(DECODER, data)
+        except UndecodableValue as error:
             log_decision("peer_message_unreadable", peer=self.vm, detail=str(error))
             self.transport.abortConnection()
             return
@@ -308,7 +307,7 @@
         if member.vm in self._connecting:
             return
         self._connecting.add(member.vm)
-        Deferred.fromCoroutine(self._connect(member))
+        self.kernel.tasks.start("peer_connect", self._connect(member))
 
     async def _connect(self, member: MemberRow) -> None:
         endpoint = TCP4ClientEndpoint(
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
-
 from guavabarrow_core.fleet_state import LeadPhase, LeadRow
 from guavabarrow_core.primary_evidence import PrimaryEvidence, ProbeResult
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
@@ -104,7 +102,7 @@
             entry = self._directory.last_known_entry(primary_row.primary_id)
             if entry is not None and self._is_due(primary_row, now):
                 self._probing.add(primary_row.primary_id)
-                Deferred.fromCoroutine(self._probe(entry))
+                self.kernel.tasks.start("primary_probe", self._probe(entry))
         for target_id in set(self._evidence_by_id) - primaries:
             del self._evidence_by_id[target_id]
 
@@ -141,8 +139,9 @@
                 "primary_probe_failed", target=entry.target_id, detail=str(error)
             )
             self._request_relayed_probes(entry.target_id)
+        finally:
+            self._probing.discard(entry.target_id)
         self._evidence(entry.target_id).record_probe(result, now_s())
-        self._probing.discard(entry.target_id)
 
     def _keep_listed(self, target_id: str) -> None:
         """Keep a primary that is being replaced in the list, because it answered."""
@@ -167,7 +166,7 @@
                 entry = self._directory.last_known_entry(target_id)
                 if entry is not None and target_id not in self._relayed_probes:
                     self._relayed_probes.add(target_id)
-                    Deferred.fromCoroutine(self._probe_for(vm, entry))
+                    self.kernel.tasks.start("relayed_probe", self._probe_for(vm, entry))
             case ProbeAnswer(target_id):
                 self._evidence(target_id).record_relayed_answer(now_s())
                 self._keep_listed(target_id)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -175,18 +175,20 @@
         self._initializing.add(service)
 
         async def initialize(entry: TargetEntry) -> None:
-            status = await self._admin_client.status(entry)
-            if (
-                status is not None
-                and status.is_primary
-                and self._duty.may_order_promotions()
-            ):
-                term = status.term
-                row = LeadRow(service, LeadPhase.SETTLED, entry.target_id, term)
-                await self._fleet.write(primary_row_key(service), row)
-            self._initializing.discard(service)
-
-        Deferred.fromCoroutine(initialize(primaries[0]))
+            try:
+                status = await self._admin_client.status(entry)
+                if (
+                    status is not None
+                    and status.is_primary
+                    and self._duty.may_order_promotions()
+                ):
+                    term = status.term
+                    row = LeadRow(service, LeadPhase.SETTLED, entry.target_id, term)
+                    await self._fleet.write(primary_row_key(service), row)
+            finally:
+                self._initializing.discard(service)
+
+        self.kernel.tasks.start("primary_row_initialize", initialize(primaries[0]))
 
     def _start_promotion(
         self,
@@ -252,7 +254,9 @@
                 case DemotePrimary(target_id, term):
                     entry = self._directory.last_known_entry(target_id)
                     if entry is not None:
-                        Deferred.fromCoroutine(self._admin_client.demote(entry, term))
+                        self.kernel.tasks.start(
+                            "demotion", self._admin_client.demote(entry, term)
+                        )
                 case RequestPromotion(target_id):
                     await self._request_promotion(promotion, target_id)
                 case MarkSettled(primary_id, term):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
@@ -12,6 +12,7 @@
     MemberRow,
     VersionedRow,
 )
+from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.operations.decision_log import log_decision
 
 
@@ -78,8 +79,8 @@
     if value is None:
         return VersionedRow(key, version, None)
     try:
-        stored = DECODER.decode(value)
-    except msgspec.MsgspecError as error:
+        stored = decode_value(DECODER, value)
+    except UndecodableValue as error:
         log_decision("shared_row_unreadable", key=key, detail=str(error))
         return VersionedRow(key, version, None)
     row = ROW_TYPE_BY_STORED_TYPE[type(stored)](**msgspec.structs.asdict(stored))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -12,8 +12,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.task import LoopingCall
-
 from guavabarrow_core.fleet_state import SPONSORSHIP_S
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.fleet_messages import (
@@ -31,6 +29,8 @@
 from guavabarrow_daemon.operations.decision_log import log_decision
 
 if TYPE_CHECKING:
+    from twisted.internet.task import LoopingCall
+
     from guavabarrow_core.fleet_state import VersionedRow
 
 REQUEST_INTERVAL_S = 0.7
@@ -82,11 +82,14 @@
         """Start to send requests."""
         self._links.on_peer_message.append(self._on_message)
         self._links.on_peer_up.append(self._drop_pending)
-        self._request_loop = LoopingCall(self._request_from_observer)
-        self._request_loop.clock = self._reactor
+        tasks = self.kernel.tasks
+        self._request_loop = tasks.create_periodic(
+            "table_request", self._request_from_observer, self._reactor
+        )
         self._request_loop.start(REQUEST_INTERVAL_S, now=False)
-        self._sponsor_loop = LoopingCall(self._request_sponsorship)
-        self._sponsor_loop.clock = self._reactor
+        self._sponsor_loop = tasks.create_periodic(
+            "sponsorship_request", self._request_sponsorship, self._reactor
+        )
         self._follow_registration()
 
     async def stop(self) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from twisted.internet.defer import Deferred
-
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.session_messages import (
     Completed,
@@ -128,7 +126,12 @@
                 location=transaction.location,
                 reason=reason,
             )
-            Deferred.fromCoroutine(self._runner.roll_back(transaction))
+            self._start_roll_back(transaction)
+
+    def _start_roll_back(self, transaction: TransactionHandle) -> None:
+        self._runner.kernel.tasks.start(
+            "roll_back", self._runner.roll_back(transaction)
+        )
 
     def expire(self, limit_s: float) -> None:
         """Roll back a transaction that has been idle for longer than ``limit_s``."""
@@ -192,7 +195,7 @@
         transaction, self._transaction = self._transaction, None
         self.state = TransactionState.IDLE
         if transaction is not None:
-            Deferred.fromCoroutine(self._runner.roll_back(transaction))
+            self._start_roll_back(transaction)
         elif self._has_token:
             self._admission.rates.return_token(self._team)
         self._has_token = False
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.session_messages import FailureCode, Reply, StatementKind
@@ -100,8 +99,9 @@
         self._metrics = kernel.find(SessionMetrics)
         self._origin_by_vm: dict[str, Origin] = {}
         self._served_at_by_service: dict[str, float] = {}
-        self._check_loop = LoopingCall(self._check)
-        self._check_loop.clock = reactor
+        self._check_loop = kernel.tasks.create_periodic(
+            "hosted_work_check", self._check, reactor
+        )
 
     async def start(self) -> None:
         """Subscribe to the statements of other VMs."""
@@ -161,7 +161,7 @@
                 self._roll_back(origin, message.transaction, work)
             return
         self._record_served(message.service)
-        Deferred.fromCoroutine(self._serve(origin, message))
+        self.kernel.tasks.start("hosted_statement", self._serve(origin, message))
 
     def _find_origin(self, vm: str) -> Origin:
         origin = self._origin_by_vm.get(vm)
@@ -301,7 +301,9 @@
         if work.transaction is None or work.is_committing:
             return
         origin.work_by_number.pop(number, None)
-        Deferred.fromCoroutine(self._router.roll_back(work.transaction))
+        self.kernel.tasks.start(
+            "hosted_roll_back", self._router.roll_back(work.transaction)
+        )
 
     def _on_peer_lost(self, vm: str) -> None:
         origin = self._origin_by_vm.pop(vm, None)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.protocol import connectionDone as CONNECTION_DONE
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.session_messages import (
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.task import LoopingCall
     from twisted.python.failure import Failure
 
     from guavabarrow_daemon.kernel import Kernel
@@ -246,8 +247,9 @@
             port, factory, backlog=BACKLOG, interface=host
         )
         self.address = f"{host}:{self._port.getHost().port}"
-        self._expiry = LoopingCall(self._expire)
-        self._expiry.clock = self._reactor
+        self._expiry = self.kernel.tasks.create_periodic(
+            "session_expiry", self._expire, self._reactor
+        )
         self._expiry.start(EXPIRE_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/kernel.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/kernel.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 from guavabarrow_core.exceptions import GuavabarrowError
+from guavabarrow_daemon.background import BackgroundTasks
 
 ServiceType = TypeVar("ServiceType", bound="Service")
 
@@ -46,9 +47,16 @@
 
 
 class Kernel:
-    """Registry of services in the order in which they start."""
+    """Registry of services in the order in which they start.
+
+    Attributes
+    ----------
+    tasks : BackgroundTasks
+        Background work of all services.
+    """
 
     def __init__(self) -> None:
+        self.tasks = BackgroundTasks()
         self._service_by_name: dict[str, Service] = {}
 
     def register(self, service: Service) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/readiness_site.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/readiness_site.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.front.session_front import SessionFront
 from guavabarrow_daemon.http.site import Routes, TrackedSite, answer, answer_json
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -28,6 +29,8 @@
 ROUTE_PATH = "/route"
 """Explains a route; the query is the body, because a path with a key may be logged."""
 
+ROUTE_QUERY_DECODER = msgspec.json.Decoder(RouteQuery)
+
 
 def answer_route(request: Request, kernel: Kernel) -> None:
     """Answer a query for the explanation of a route.
@@ -40,9 +43,9 @@
         Services of the VM.
     """
     try:
-        query = msgspec.json.decode(request.content.read(), type=RouteQuery)
+        query = decode_value(ROUTE_QUERY_DECODER, request.content.read())
         answer_json(request, 200, explain_route(kernel, query))
-    except msgspec.MsgspecError as error:
+    except UndecodableValue as error:
         log_decision("route_query_refused", code="malformed", detail=str(error))
         answer_json(request, 400, RouteProblem("malformed", str(error)))
     except RouteQueryError as error:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -85,6 +85,12 @@
         self.host_bypasses = self._counter(
             "host_bypasses", "Service hosts that were bypassed, by reason", "reason"
         )
+        self.background_failures = self._counter(
+            "background_failures", "Failures of background tasks", "task"
+        )
+        kernel.tasks.on_failure.append(
+            lambda task: self.background_failures.labels(task).inc()
+        )
         self.sessions = Gauge(
             "guavabarrow_sessions", "Connected callers", registry=self.registry
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
@@ -32,6 +32,7 @@
 )
 from guavabarrow_core.target_load import LoadEstimate, TargetLoad
 from guavabarrow_core.target_pace import TargetPace
+from guavabarrow_daemon.background import BackgroundTasks
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.targets.connection_set import ConnectionSet
@@ -91,6 +92,8 @@
         Called with the priority of each refused statement and the reason.
     count_eviction : callable
         Called when an idle connection is closed for another team.
+    tasks : BackgroundTasks, optional
+        Runs the opening of connections.
 
     Attributes
     ----------
@@ -108,6 +111,7 @@
         count_handshake: Callable[[str], None],
         count_refusal: Callable[[int, str], None] = lambda priority, reason: None,
         count_eviction: Callable[[], None] = lambda: None,
+        tasks: BackgroundTasks | None = None,
     ) -> None:
         self.entry = entry
         self.load: LoadEstimate = TargetLoad()
@@ -117,6 +121,7 @@
         self.running_count = 0
         self._driver = driver
         self._reactor = reactor
+        self._tasks = tasks or BackgroundTasks()
         self._on_evidence = on_evidence
         self._count_handshake = count_handshake
         self._count_refusal = count_refusal
@@ -356,7 +361,7 @@
     def start_opening(self, team: str) -> None:
         """Open a connection for a team."""
         self.opening_count += 1
-        Deferred.fromCoroutine(self._open(team))
+        self._tasks.start("target_connect", self._open(team))
 
     def make_room(self, limit: int, kept_teams: Container[str]) -> bool:
         """Make room for one more connection, closing an idle one if need be.
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_admin_client.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_admin_client.py
@@ -78,11 +78,17 @@
         """Return the end of the log of each target that answers, by target id."""
         replies = [Deferred.fromCoroutine(self.status(entry)) for entry in entries]
         results = await DeferredList(replies, consumeErrors=True)
-        return {
-            entry.target_id: status
-            for entry, (_, status) in zip(entries, results, strict=True)
-            if isinstance(status, TargetStatus)
-        }
+        status_by_id = {}
+        for entry, (is_success, result) in zip(entries, results, strict=True):
+            if not is_success:
+                log_decision(
+                    "status_query_failed",
+                    target=entry.target_id,
+                    error=result.getTraceback(),
+                )
+            elif result is not None:
+                status_by_id[entry.target_id] = result
+        return status_by_id
 
     async def demote(self, entry: TargetEntry, term: int) -> None:
         """Demote a target because a new term begins."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/gathering_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/gathering_service.py
@@ -9,8 +9,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.task import LoopingCall
-
 from guavabarrow_core.usage_counts import (
     STOPPED_WINDOW,
     InvalidUsageCount,
@@ -35,6 +33,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from twisted.internet.task import LoopingCall
+
     from guavabarrow_core.fleet_state import MemberRow
 
 SEND_INTERVAL_S = 0.5
@@ -85,8 +85,9 @@
         self._links.on_peer_message.append(self._on_message)
         self._links.on_peer_up.append(self._on_peer_up)
         self._fleet.on_orders.append(self._learn_teams)
-        self._loop = LoopingCall(self._send_changes)
-        self._loop.clock = self._reactor
+        self._loop = self.kernel.tasks.create_periodic(
+            "usage_changes", self._send_changes, self._reactor
+        )
         self._loop.start(SEND_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/report_codec.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/report_codec.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from guavabarrow_core.usage_report import ReportPhase, StoredReport
+from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.operations.decision_log import log_decision
 
 KEY_PREFIX = "window/"
@@ -58,8 +59,8 @@
         log_decision("usage_row_unreadable", key=key, detail="the key is no window")
         return None
     try:
-        stored = DECODER.decode(value)
-    except msgspec.MsgspecError as error:
+        stored = decode_value(DECODER, value)
+    except UndecodableValue as error:
         log_decision("usage_row_unreadable", key=key, detail=str(error))
         return StoredReport(int(number), {}, ReportPhase.REFUSED, version)
     return StoredReport(
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/reporting_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/reporting_service.py
@@ -6,7 +6,6 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from guavabarrow_core.fleet_state import DUTY_KEY
 from guavabarrow_core.usage_counts import UsageWindowOutOfRange
@@ -38,6 +37,8 @@
 from guavabarrow_daemon.usage.true_clock import TrueClock
 
 if TYPE_CHECKING:
+    from twisted.internet.task import LoopingCall
+
     from guavabarrow_daemon.store.watched_table import UsageAuthority, WatchedTable
 
 CHECK_INTERVAL_S = 0.25
@@ -128,8 +129,9 @@
     async def start(self) -> None:
         """Start the periodic checks."""
         self._duty.on_acquired.append(self._on_acquired)
-        self._loop = LoopingCall(self._check)
-        self._loop.clock = self._reactor
+        self._loop = self.kernel.tasks.create_periodic(
+            "usage_report", self._check, self._reactor
+        )
         self._loop.start(CHECK_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
--- a/packages/guavabarrow-daemon/tests/test_fleet_faults.py
+++ b/packages/guavabarrow-daemon/tests/test_fleet_faults.py
@@ -9,7 +9,12 @@
 import numpy as np
 import pytest
 from sim_fleet import DOMAINS, SimFleet
-from sim_platform import publish_configuration
+from sim_platform import (
+    SimDirectory,
+    SimOrders,
+    SimTable,
+    publish_configuration,
+)
 
 from guavabarrow_core import fleet_state
 from guavabarrow_core.fleet_state import FleetState
@@ -472,3 +477,47 @@
     for target in fleet.group.targets:
         if not target.is_alive:
             fleet.group.restart(target)
+
+
+@pytest.mark.parametrize("error", [RecursionError, OverflowError, KeyError])
+def test_the_list_of_targets_is_read_again_after_an_unexpected_error(
+    fleet, monkeypatch, error
+):
+    """VMs that started meanwhile knew no target for as long as they ran."""
+    read = SimDirectory.read
+
+    async def fail(directory):
+        raise error("unexpected")
+
+    monkeypatch.setattr(SimDirectory, "read", fail)
+    names = list(fleet.vm_by_name)
+    for name in names:
+        fleet.kill(name)
+    fleet.run(0.5)
+    for name in names:
+        fleet.start(name)
+    fleet.run(4.0)
+    monkeypatch.setattr(SimDirectory, "read", read)
+    fleet.run_until(fleet.is_serving, RECOVERY_S)
+    fleet.assert_invariants()
+
+
+@pytest.mark.parametrize("table_type", [SimTable, SimOrders])
+def test_tables_are_watched_again_after_an_unexpected_error(
+    fleet, monkeypatch, table_type
+):
+    """A watch that ended left the VM with an old primary or configuration."""
+    watch = table_type.watch
+
+    async def fail(table, after, wait_s):
+        raise RecursionError("unexpected")
+
+    monkeypatch.setattr(table_type, "watch", fail)
+    fleet.run(8.0)
+    monkeypatch.setattr(table_type, "watch", watch)
+    fleet.run(5.0)
+    version = publish_configuration(fleet.operator_store)
+    fleet.run_until(lambda: fleet.has_configuration(version), ROLLOUT_S)
+    fleet.group.crash(fleet.group.leader)
+    fleet.run_until(fleet.is_serving, FAILOVER_S)
+    fleet.assert_invariants()
--- a/packages/guavabarrow-daemon/tests/test_pace_service.py
+++ b/packages/guavabarrow-daemon/tests/test_pace_service.py
@@ -25,6 +25,7 @@
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.pace_service import PaceService
 from guavabarrow_daemon.front.target_exchange import TargetExchange
+from guavabarrow_daemon.kernel import Kernel
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 from guavabarrow_daemon.targets.session_connection import SessionConnection
 from guavabarrow_daemon.targets.session_pool import SessionPool
@@ -148,11 +149,10 @@
 )
 def test_only_answers_to_statements_count(monkeypatch, code, setup_only, counts, fails):
     """Load: BEGIN is fast, and a replica that lags says so at once."""
-    kernel = SimpleNamespace(find=lambda service: service)
     exchange = TargetExchange.__new__(TargetExchange)
     exchange.on_sent = []
     exchange._reactor = Clock()
-    exchange._metrics = SessionMetrics(kernel)
+    exchange._metrics = SessionMetrics(Kernel())
     exchange._primary_service = None
     pool = FakePool()
     context = SimpleNamespace(
--- /dev/null
+++ b/tests/platform_adapter/test_operator_tables.py
@@ -0,0 +1,126 @@
+"""Rows of the operators' and the targets' tables that other writers wrote."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred
+
+from guavabarrow_daemon.decoding import UndecodableValue
+from guavabarrow_daemon.store.watched_table import TableReadResult, TableRow
+from guavabarrow_platform.operator_tables import (
+    StoredDirectory,
+    StoredOrders,
+    decode_entry,
+)
+
+ENTRY = {
+    "Service": "orders",
+    "Address": "10.0.0.1:5432",
+    "Zone": "north",
+    "Version": "v1",
+    "Capacity": 3,
+    "State": "ready",
+    "WarmupLeftMs": 0,
+    "DbRole": "primary",
+    "Sequence": 4,
+    "born": 1,
+}
+CONFIGURATION = {"Version": 2, "Routes": [], "Services": [], "Tenants": []}
+
+
+class FakeTable:
+    """Table whose rows a test sets."""
+
+    def __init__(self, *values: bytes) -> None:
+        self._rows = [
+            TableRow(f"row-{number}", value, number + 1)
+            for number, value in enumerate(values)
+        ]
+
+    async def read(self) -> TableReadResult:
+        return TableReadResult(self._rows, len(self._rows), 0.0)
+
+
+def result_of(coroutine):
+    results: list = []
+    Deferred.fromCoroutine(coroutine).addBoth(results.append)
+    return results[0]
+
+
+def entry_with(**changes) -> bytes:
+    return json.dumps({**ENTRY, **changes}).encode()
+
+
+UNREADABLE_ENTRIES = {
+    "nested, cut off": b'{"Version": ' + b"[" * 40_000,
+    "nested": b'{"Version": ' + b"[" * 20_000 + b"]" * 20_000 + b"}",
+    "giant capacity": entry_with(Capacity=10**30),
+    "giant start time": entry_with(born=10**30),
+    "negative start time": entry_with(born=-1),
+    "start time with 5,000 digits": b'{"born": ' + b"9" * 5_000 + b"}",
+    "port out of range": entry_with(Address="10.0.0.1:70000"),
+    "port in other digits": entry_with(Address="10.0.0.1:\u00b2"),
+    "port of 5,000 digits": entry_with(Address="10.0.0.1:" + "1" * 5_000),
+    "no text": b"\xff\xfe",
+    "empty": b"",
+    "no table": b"[]",
+    "role of another type": entry_with(DbRole=["primary"]),
+    "unknown state": entry_with(State="resting"),
+}
+
+
+@pytest.mark.parametrize("value", UNREADABLE_ENTRIES.values(), ids=UNREADABLE_ENTRIES)
+def test_an_unreadable_entry_hides_no_other(value):
+    """Deep nesting raised RecursionError, which ended the poll of the list for good."""
+    table = FakeTable(value, entry_with())
+    entries, problems = result_of(StoredDirectory(table).read())
+    assert [entry.target_id for entry in entries] == ["row-1"]
+    assert len(problems) == 1
+    msgspec.msgpack.encode(entries)
+
+
+def test_an_unreadable_configuration_is_left_out():
+    """The loop that reads the operators' table ended as well."""
+    value = b'{"Extra": ' + b"[" * 40_000
+    rows = [TableRow("config", value, 1), TableRow("evacuate/north", b"{}", 2)]
+    orders = StoredOrders(FakeTable()).decode(rows)
+    assert orders.configuration is None
+    assert orders.evacuated == {"north"}
+
+
+@pytest.mark.parametrize("kind", ["unknown", "", "PRIMARY"])
+def test_a_configuration_with_an_unknown_kind_of_route_is_left_out(kind):
+    route = {"Host": "shop", "Service": "orders", "Kind": kind}
+    value = json.dumps({**CONFIGURATION, "Routes": [route]}).encode()
+    orders = StoredOrders(FakeTable()).decode([TableRow("config", value, 1)])
+    assert orders.configuration is None
+
+
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text("ab:1.\u00b2\x00", max_size=8)
+    | st.sampled_from(["ready", "draining", "primary", "10.0.0.1:1", 10**30, -1]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(["a", "Version"]), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+@given(st.dictionaries(st.sampled_from(list(ENTRY)), VALUES), st.integers(0, 300))
+def test_an_entry_is_decoded_or_refused_with_a_typed_error(changes, kept_bytes):
+    value = json.dumps({**ENTRY, **changes}).encode()
+    for data in (value, value[:kept_bytes], value + value[:kept_bytes]):
+        try:
+            msgspec.msgpack.encode(decode_entry("t", data))
+        except UndecodableValue as error:
+            assert str(error)
