Name shared prepared statements by a digest of their shape

Cause: PreparedShape.shared_name was made of the shape as it is, and a line to a target has it in the middle, where a blank ends a field. Shown on the lines themselves: "PREPARE gr_q7 READ q9f READ q7 READ q9f" prepares "q9f READ q7 READ q9f" as "gr_q7". Ruled out: parsing of the caller's line and of the shape handed to a service host, which keep the text.

Change: the name is a letter for the mode and a digest of 16 bytes. The same check at the border for the other words of a line that come from outside: teams and services of the configuration and ids of entries that are no single word are left out with a reason, and a caller's request id "-" is refused.

--- a/packages/guavabarrow-core/src/guavabarrow_core/session_values.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/session_values.py
@@ -3,12 +3,18 @@
 Target connections are pooled and serve several sessions in turn. Before a session's
 statement runs, the connection is set to exactly the values that were acknowledged to
 the session. Prepared statements get a name derived from their shape alone, so that
-sessions with different names for one shape share it and their names never collide.
+sessions with different names for one shape share it and their names never collide. The
+name is a digest, because spaces in a shape would split it into several words.
 """
 
 from __future__ import annotations
 
+from base64 import urlsafe_b64encode
 from dataclasses import dataclass, field
+from hashlib import blake2b
+
+NAME_DIGEST_BYTES = 16
+"""Length of the digest; callers choose the shapes, so collisions must be infeasible."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,23 +24,31 @@
     Parameters
     ----------
     shape : str
-        Shape of the statement.
+        Shape of the statement: any text.
     writes : bool
         Whether it writes.
 
+    Attributes
+    ----------
+    shared_name : str
+        Name of the prepared statement on target connections: one word, whatever the
+        shape contains, and another one for each shape and mode.
+
     Examples
     --------
-    >>> PreparedShape("q2c", writes=True).shared_name
-    'gw_q2c'
+    >>> PreparedShape("orders by day", writes=False).shared_name
+    'rjeaeuEh7OKaGcJLPkPPqsA'
     """
 
     shape: str
     writes: bool
+    shared_name: str = field(init=False, compare=False)
 
-    @property
-    def shared_name(self) -> str:
-        """Name of the prepared statement on target connections."""
-        return f"g{'w' if self.writes else 'r'}_{self.shape}"
+    def __post_init__(self) -> None:
+        digest = blake2b(self.shape.encode(), digest_size=NAME_DIGEST_BYTES).digest()
+        name = urlsafe_b64encode(digest).decode().rstrip("=")
+        mode = "w" if self.writes else "r"
+        object.__setattr__(self, "shared_name", f"{mode}{name}")
 
 
 @dataclass(slots=True)
--- a/tests/platform_adapter/test_operator_tables.py
+++ b/tests/platform_adapter/test_operator_tables.py
@@ -15,6 +15,7 @@
 from guavabarrow_platform.operator_tables import (
     StoredDirectory,
     StoredOrders,
+    decode_configuration,
     decode_entry,
 )
 
@@ -70,6 +71,7 @@
     "empty": b"",
     "no table": b"[]",
     "role of another type": entry_with(DbRole=["primary"]),
+    "service of two words": entry_with(Service="orders db"),
     "unknown state": entry_with(State="resting"),
 }
 
@@ -101,6 +103,21 @@
     assert orders.configuration is None
 
 
+def test_names_that_no_target_can_be_told_are_left_out():
+    """A team or service of two words would shift the fields of a line to a target."""
+    routes = [
+        {"Host": host, "Service": service, "Kind": "primary"}
+        for host, service in [("shop", "orders"), ("other", "orders db")]
+    ]
+    teams = [
+        {"Name": name, "ApiKeys": [f"key of {name}"]} for name in ("a", "a i-7", "")
+    ]
+    value = json.dumps({**CONFIGURATION, "Routes": routes, "Tenants": teams}).encode()
+    configuration = decode_configuration(value)
+    assert list(configuration.route_by_database) == ["shop"]
+    assert configuration.team_by_key == {"key of a": "a"}
+
+
 VALUES = st.recursive(
     st.none()
     | st.booleans()
--- a/tests/platform_adapter/test_session_vm.py
+++ b/tests/platform_adapter/test_session_vm.py
@@ -58,6 +58,20 @@
     assert caller.execute("READ t1")[0] == ["kept"]
 
 
+def test_shapes_of_several_words_run_as_prepared(deployment):
+    vm = deployment.start_vm("vm-1")
+    shapes = ["READ orders by day", "READ q2c WRITE q7", "WRITE q7 READ q9f"]
+    for number, shape in enumerate(shapes):
+        caller = Caller(vm.front, "primary")
+        caller.execute(f"PREPARE s1 {shape}")
+        _, outcome, _ = caller.execute(f"EXECUTE s1 item-{number} data")
+        assert outcome.startswith("COMPLETE ")
+        caller.close()
+    written = [item for _, item, _ in deployment.group.primary.log]
+    assert "item-2" in written
+    assert not {"item-0", "item-1"} & set(written)
+
+
 def test_values_and_prepared_names_follow_their_session(deployment):
     vm = deployment.start_vm("vm-1")
     first, second = Caller(vm.front, "primary"), Caller(vm.front, "primary")
--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -18,7 +18,12 @@
     StatementRequest,
     TransactionState,
 )
-from guavabarrow_core.session_values import PreparedShape, RestorePlan
+from guavabarrow_core.session_values import (
+    ConnectionValues,
+    PreparedShape,
+    RestorePlan,
+    SessionValues,
+)
 from guavabarrow_platform.wire import (
     MAX_MESSAGE_BYTES,
     LineFrontCodec,
@@ -84,7 +89,9 @@
     data, count = LineTargetCodec().encode_restore(plan)
     assert count == 3
     assert data == (
-        b"QUERY - RESET\r\nQUERY - SET a b\r\nQUERY - PREPARE gw_q2c WRITE q2c\r\n"
+        b"QUERY - RESET\r\nQUERY - SET a b\r\nQUERY - PREPARE "
+        + PreparedShape("q2c", writes=True).shared_name.encode()
+        + b" WRITE q2c\r\n"
     )
 
 
@@ -93,3 +100,59 @@
     assert not status.is_primary
     assert (status.term, status.received) == (4, LogPosition(3, 1209))
     assert (status.lag_ms, status.busy, status.connections) == (12.0, 2, 17)
+
+
+SHAPES = st.text("ab 0-=/\t\u00b2", min_size=1, max_size=30).filter(str.strip)
+
+
+class PreparingTarget:
+    """What a target makes of PREPARE and EXECUTE, by the words of each line."""
+
+    def __init__(self) -> None:
+        self._shape_by_name: dict[str, tuple[str, str]] = {}
+
+    def run(self, data: bytes) -> tuple[str, str, str] | None:
+        """Run lines; return mode, shape and argument of the last EXECUTE."""
+        ran = None
+        for line in data.decode().split("\r\n")[:-1]:
+            _, _, word, rest = line.split(" ", 3)
+            name, _, rest = rest.partition(" ")
+            if word == "PREPARE":
+                mode, _, shape = rest.partition(" ")
+                self._shape_by_name[name] = (mode, shape)
+            else:
+                ran = (*self._shape_by_name[name], rest)
+        return ran
+
+
+@given(
+    st.lists(
+        st.tuples(
+            SHAPES
+            | st.sampled_from(["orders by day", "q7 READ q9f", "q2c WRITE q7", "q7"]),
+            st.booleans(),
+        ),
+        min_size=1,
+        max_size=6,
+    )
+)
+def test_a_target_runs_the_shape_that_was_prepared(prepared):
+    """Names made of shapes with blanks were unknown there, or ran another shape."""
+    codec, target, values = LineTargetCodec(), PreparingTarget(), ConnectionValues()
+    for text, writes in prepared:
+        mode = "WRITE" if writes else "READ"
+        statement = parse_statement(f"PREPARE s1 {mode} {text}")
+        shape = PreparedShape(statement.argument, writes=statement.writes)
+        plan = values.plan(SessionValues(), shape)
+        values.apply(plan)
+        execute = parse_statement("EXECUTE s1 item-1 some data")
+        lines = codec.encode_restore(plan)[0] + codec.encode_statement(
+            "5c", execute, prepared_name=shape.shared_name
+        )
+        assert target.run(lines) == (mode, text, "item-1 some data")
+
+
+def test_a_caller_cannot_use_the_id_of_the_proxy():
+    """A target takes a statement with this id for one that no caller sent."""
+    [request] = LineFrontCodec().feed(b"QUERY - READ 1a4\r\n")
+    assert request.statement.kind is StatementKind.INVALID
