Promote only replicas that have all acknowledged commits

Cause: sync_replicas was decoded and used nowhere. Candidates were the replicas that accept new work, and the most advanced of those that answered the first query was promoted; the trace shows the deaf one as the only candidate and the only position compared. Ruled out: the crash with a deaf replica alone, where both are compared.

Change: with sync_replicas k, a replica is promoted only if it has the end of the old primary's log or the longest log of R - k + 1 of the R registered replicas. Draining, evacuated and drained ones count. Related choices of a primary: a planned switchover no longer promotes a replica that has not caught up, a successor of the duty recognizes a promoted draining replica, and the leader of the newest term is adopted, not the first one. Actions of a replacement no longer nest, so a long comparison can't exceed the recursion limit. Without synchronous replicas decisions are as before.

--- a/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
@@ -4,6 +4,12 @@
 compare the replicas, demote the old primary if it is reachable, promote a replica, and
 mark the row as settled. The replacement can be reverted until the promotion is
 requested.
+
+If a service has synchronous replicas, each acknowledged commit is in the logs of so
+many replicas, whichever they are. Then only a replica is promoted whose log is known to
+have all of them: it has the end of the old primary's log, or no log of so many replicas
+is longer that each acknowledged commit must be in one of them. Replicas that are
+draining or evacuated count, and are promoted if only they have the commits.
 """
 
 from __future__ import annotations
@@ -22,6 +28,10 @@
 CATCH_UP_TIMEOUT_S = 1.0
 """Longest time that a planned switchover waits for the chosen replica to catch up."""
 
+REFUSED_RETRY_S = 0.5
+"""Time after which a replica that was refused is tried again if no other one has all
+acknowledged commits."""
+
 PROMOTION_TIMEOUT_S = 2.0
 """Longest wait until a promoted target reports that it is the primary; twice the
 longest promotion time that is specified for a deployment."""
@@ -92,7 +102,12 @@
     is_planned : bool
         Whether this is a switchover from a working primary, which must lose nothing.
     candidates : tuple of str
-        Replicas that may be promoted, in order of preference.
+        Replicas that accept new work, in order of preference.
+    other_replicas : tuple of str
+        Further replicas, which may have acknowledged commits that the candidates lack.
+        They include those that can't be reached because their log is being transferred.
+    sync_replicas : int
+        Replicas that had each commit before it was acknowledged.
     is_resumed : bool
         Whether another VM started it and may have requested a promotion.
     is_failed_by_vote : bool
@@ -105,6 +120,8 @@
     term: int
     is_planned: bool
     candidates: tuple[str, ...]
+    other_replicas: tuple[str, ...] = ()
+    sync_replicas: int = 0
     is_resumed: bool = False
     is_failed_by_vote: bool = False
     stage: PromotionStage = PromotionStage.MARKING
@@ -116,6 +133,7 @@
     final_position: LogPosition | None = None
     status_by_id: dict[str, TargetStatus] = field(default_factory=dict)
     refused_ids: set[str] = field(default_factory=set)
+    refused_at: float = float("-inf")
 
     def start(self, now: float) -> list[PromotionAction]:
         """Start the replacement."""
@@ -166,12 +184,18 @@
                 self.stage = PromotionStage.REVERTING
                 return [MarkSettled(self.old_primary_id, self.term)]
             self.final_position = old.received
-        chosen = self._most_advanced()
-        waited_s = now - self.compared_at
+        has_waited = now - self.compared_at >= CATCH_UP_TIMEOUT_S
+        if self.sync_replicas > 0:
+            chosen = self._complete_replica(now)
+            if chosen is None and has_waited and self._can_return_to(old):
+                self.stage = PromotionStage.REVERTING
+                return [MarkSettled(self.old_primary_id, self.term)]
+        else:
+            chosen = self._most_advanced()
+            if chosen is not None and not self._is_caught_up(chosen):
+                chosen = chosen if has_waited else None
         if chosen is None:
             return [ReadStatuses(self._status_targets())]
-        if not self._is_caught_up(chosen) and waited_s < CATCH_UP_TIMEOUT_S:
-            return [ReadStatuses(self._status_targets())]
         self.chosen_id = chosen
         self.stage = PromotionStage.PROMOTING
         next_term = max([self.term, *(s.term for s in self.status_by_id.values())])
@@ -192,13 +216,21 @@
         if self.stage is not PromotionStage.PROMOTING:
             return []
         self.refused_ids.add(self.chosen_id)
-        if self.refused_ids >= set(self.candidates):
+        self.refused_at = now
+        if self.sync_replicas == 0 and self.refused_ids >= set(self.candidates):
             self.refused_ids.clear()
         self.status_by_id.clear()
         self.stage = PromotionStage.COMPARING
         self.compared_at = now
         return [ReadStatuses(self._status_targets())]
 
+    def set_replicas(
+        self, candidates: tuple[str, ...], other_replicas: tuple[str, ...]
+    ) -> None:
+        """Replace the replicas, which may join and leave during a long replacement."""
+        self.candidates = candidates
+        self.other_replicas = other_replicas
+
     def on_settled(self) -> None:
         """Handle the row being marked as settled."""
         self.stage = PromotionStage.DONE
@@ -214,15 +246,53 @@
         must_replace = self.is_planned or self.is_resumed or self.is_failed_by_vote
         return is_unchanged and not must_replace
 
+    def _can_return_to(self, old: TargetStatus | None) -> bool:
+        """Return whether the old primary goes on, so that it can serve again."""
+        return (
+            old is not None
+            and old.is_primary
+            and old.term == self.term
+            and not self.refused_ids
+            and not self.is_resumed
+        )
+
+    @property
+    def _replicas(self) -> tuple[str, ...]:
+        return (*self.candidates, *self.other_replicas)
+
     def _status_targets(self) -> tuple[str, ...]:
-        return (*self.candidates, self.old_primary_id)
+        return (*self._replicas, self.old_primary_id)
 
     def _promoted_candidate(self) -> str | None:
-        for target_id in self.candidates:
-            status = self.status_by_id.get(target_id)
-            if status and status.is_primary and status.term > self.term:
-                return target_id
-        return None
+        """Return the replica that leads the newest term, None if none was promoted."""
+        promoted = [
+            target_id
+            for target_id in self._replicas
+            if (status := self.status_by_id.get(target_id)) is not None
+            and status.is_primary
+            and status.term > self.term
+        ]
+        return max(promoted, key=lambda key: self.status_by_id[key].term, default=None)
+
+    def _complete_replica(self, now: float) -> str | None:
+        """Return a replica that has all acknowledged commits, None if none is known."""
+        received_by_id = {
+            target_id: self.status_by_id[target_id].received
+            for target_id in self._replicas
+            if target_id in self.status_by_id
+        }
+        required_count = max(1, len(self._replicas) - self.sync_replicas + 1)
+        if not received_by_id or (
+            self.final_position is None and len(received_by_id) < required_count
+        ):
+            return None
+        required = max(received_by_id.values())
+        if self.final_position is not None:
+            required = max(required, self.final_position)
+        complete = [key for key, end in received_by_id.items() if end >= required]
+        if now - self.refused_at > REFUSED_RETRY_S:
+            self.refused_ids.difference_update(complete)
+        return next((key for key in complete if key not in self.refused_ids), None)
 
     def _most_advanced(self) -> str | None:
         compared = [
--- a/packages/guavabarrow-core/tests/test_promotion.py
+++ b/packages/guavabarrow-core/tests/test_promotion.py
@@ -7,6 +7,7 @@
 from guavabarrow_core.log_position import LogPosition
 from guavabarrow_core.promotion import (
     CATCH_UP_TIMEOUT_S,
+    REFUSED_RETRY_S,
     DemotePrimary,
     MarkMoving,
     MarkSettled,
@@ -124,3 +125,75 @@
     statuses = {"p": status_at(12, PRIMARY), "r1": status_at(9)}
     actions = compare_replicas(start_promotion(is_resumed=True), statuses)
     assert actions[-1] == RequestPromotion("r1")
+
+
+def test_the_newest_of_several_promoted_replicas_is_adopted():
+    """An old leader that lost contact still leads its term when it is asked."""
+    promotion = start_promotion(is_resumed=True)
+    older = TargetStatus(is_primary=True, term=2, received=LogPosition(1, 10))
+    newer = TargetStatus(is_primary=True, term=3, received=LogPosition(2, 4))
+    assert compare_replicas(promotion, {"r1": older, "r2": newer}) == [
+        MarkSettled("r2", 3)
+    ]
+
+
+def start_durable(**changes) -> Promotion:
+    fields = {"other_replicas": ("d1",), "sync_replicas": 1, **changes}
+    return start_promotion(**fields)
+
+
+def test_all_replicas_are_asked_if_any_of_them_may_have_the_last_commit():
+    promotion = start_durable()
+    statuses = {"r1": status_at(9), "r2": status_at(12)}
+    [action] = compare_replicas(promotion, statuses)
+    assert action == ReadStatuses(("r1", "r2", "d1", "p"))
+    assert isinstance(promotion.on_statuses(statuses, 60.0)[0], ReadStatuses)
+    actions = promotion.on_statuses({"d1": status_at(12)}, 60.1)
+    assert actions[-1] == RequestPromotion("r2")
+
+
+def test_fewer_replicas_suffice_if_more_have_each_commit():
+    promotion = start_durable(sync_replicas=2)
+    actions = compare_replicas(promotion, {"r1": status_at(12), "d1": status_at(12)})
+    assert actions[-1] == RequestPromotion("r1")
+
+
+def test_a_replica_that_accepts_no_work_is_promoted_if_only_it_has_all_commits():
+    statuses = {"r1": status_at(9), "r2": status_at(9), "d1": status_at(12)}
+    actions = compare_replicas(start_durable(), statuses)
+    assert actions[-1] == RequestPromotion("d1")
+
+
+def test_the_end_of_the_old_log_shows_that_a_replica_has_all_commits():
+    promotion = start_durable(is_failed_by_vote=True)
+    statuses = {"p": status_at(12, PRIMARY), "r1": status_at(11)}
+    assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
+    actions = promotion.on_statuses({"p": statuses["p"], "r1": status_at(12)}, 0.2)
+    assert actions[-1] == RequestPromotion("r1")
+
+
+def test_a_switchover_without_a_complete_replica_is_reverted():
+    promotion = start_durable(is_planned=True)
+    statuses = {"p": status_at(12, PRIMARY), "r1": status_at(9), "r2": status_at(9)}
+    assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
+    assert promotion.on_statuses(statuses, CATCH_UP_TIMEOUT_S + 0.1) == [
+        MarkSettled("p", 1)
+    ]
+
+
+def test_a_refused_replica_is_tried_again_if_only_it_has_all_commits():
+    promotion = start_durable()
+    statuses = {"r1": status_at(9), "r2": status_at(9), "d1": status_at(12)}
+    compare_replicas(promotion, statuses)
+    promotion.on_refused(0.2)
+    assert isinstance(promotion.on_statuses(statuses, 0.3)[0], ReadStatuses)
+    actions = promotion.on_statuses(statuses, 0.3 + REFUSED_RETRY_S)
+    assert actions[-1] == RequestPromotion("d1")
+
+
+def test_replicas_that_register_later_are_asked_too():
+    promotion = start_durable(candidates=(), other_replicas=("gone",))
+    assert isinstance(compare_replicas(promotion, {})[0], ReadStatuses)
+    promotion.set_replicas(("new",), ())
+    actions = promotion.on_statuses({"new": status_at(12)}, 0.2)
+    assert actions[-1] == RequestPromotion("new")
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -48,9 +49,20 @@
     from guavabarrow_daemon.store.watched_table import PromotionAuthority
 
 RETRY_DELAY_S = 0.1
+FAST_COMPARISON_S = 2.0
+SLOW_STATUS_INTERVAL_S = 0.25
+"""Interval between status queries after ``FAST_COMPARISON_S``, as each takes a slot."""
+
+SWITCHOVER_RETRY_S = 2.0
+"""Pause after a switchover that was reverted because no replica had caught up."""
+
 LISTING_LAG_S = 3.0
 """Time by which the list of targets may lag behind a promotion."""
 
+CATCH_UP_CHECK_S = 0.1
+"""Time within which a replica that receives the log gets what was at the primary."""
+
+SWITCHOVER_REASON = "draining or evacuated"
 MAX_TRACKED_ACKNOWLEDGEMENTS = 64
 """Number of marked rows for which acknowledgements are kept."""
 
@@ -77,6 +89,8 @@
         self._acknowledgements: dict[tuple[str, int], dict[str, str]] = {}
         self._initializing: set[str] = set()
         self._other_primary_since: dict[str, float] = {}
+        self._retry_at_by_service: dict[str, float] = {}
+        self._preparing: set[str] = set()
 
     async def start(self) -> None:
         """Subscribe to the events that start or advance a replacement."""
@@ -106,11 +120,10 @@
         if configuration is None:
             return
         for service in configuration.limits_by_service:
-            promotion = self._promotion_by_service.get(service)
-            if promotion is None or promotion.stage is PromotionStage.DONE:
-                self._check_service(service, now)
+            if self._is_replacing(service):
+                self._check_acknowledgements(self._promotion_by_service[service], now)
             else:
-                self._check_acknowledgements(promotion, now)
+                self._check_service(service, now)
 
     def _check_service(self, service: str, now: float) -> None:
         primary_row = self._fleet.state.primary_row(service)
@@ -122,9 +135,14 @@
                 primary_row, is_planned=False, reason="unfinished", is_resumed=True
             )
             return
+        sync_replicas = self._sync_replicas(service)
         replicas = [
             entry
-            for entry in self._directory.usable_targets(service)
+            for entry in (
+                self._directory.directory.of_service(service)
+                if sync_replicas
+                else self._directory.usable_targets(service)
+            )
             if entry.target_id != primary_row.primary_id
         ]
         if not replicas:
@@ -139,13 +157,18 @@
                 reason="gone",
                 is_resumed=True,
             )
+        elif now < self._retry_at_by_service.get(service, float("-inf")):
+            return
         elif self._primary_watch.is_failed(primary_row.primary_id, now):
             reason = self._primary_watch.describe(primary_row.primary_id, now)
             self._start_promotion(primary_row, is_planned=False, reason=reason)
         elif not self._directory.is_usable(primary_row.primary_id):
-            self._start_promotion(
-                primary_row, is_planned=True, reason="draining or evacuated"
-            )
+            if sync_replicas:
+                self._prepare_switchover(primary_row, entry)
+            else:
+                self._start_promotion(
+                    primary_row, is_planned=True, reason=SWITCHOVER_REASON
+                )
         elif self._is_other_primary_listed(entry, replicas, now):
             self._start_promotion(
                 primary_row,
@@ -198,36 +221,100 @@
         reason: str,
         is_resumed: bool = False,
     ) -> None:
-        candidates = tuple(
-            entry.target_id
-            for entry in self._directory.usable_targets(primary_row.service)
-            if entry.target_id != primary_row.primary_id
-        )
-        if not candidates:
+        service = primary_row.service
+        sync_replicas = self._sync_replicas(service)
+        candidates, others = self._replicas(service, primary_row.primary_id)
+        if not candidates and not (sync_replicas and others):
             return
         promotion = Promotion(
-            primary_row.service,
+            service,
             primary_row.primary_id,
             primary_row.term,
             is_planned,
             candidates,
+            others if sync_replicas else (),
+            sync_replicas,
             is_resumed,
             is_failed_by_vote=self._primary_watch.is_reachable(
                 primary_row.primary_id, now_s()
             ),
         )
-        self._promotion_by_service[primary_row.service] = promotion
+        self._promotion_by_service[service] = promotion
         log_decision(
             "promotion_begun",
-            service=primary_row.service,
+            service=service,
             old=primary_row.primary_id,
             term=primary_row.term,
             planned=is_planned,
             reason=reason,
             candidates=list(candidates),
+            other_replicas=list(promotion.other_replicas),
+            sync_replicas=sync_replicas,
         )
         self._start_actions(promotion, promotion.start(now_s()))
 
+    def _sync_replicas(self, service: str) -> int:
+        configuration = self._fleet.configuration
+        limits = configuration and configuration.limits_by_service.get(service)
+        return limits.sync_replicas if limits else 0
+
+    def _replicas(
+        self, service: str, primary_id: str
+    ) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Return the replicas that accept new work, and the others."""
+        usable = self._directory.usable_targets(service)
+        candidates = [e.target_id for e in usable if e.target_id != primary_id]
+        registered = [
+            e.target_id for e in self._directory.directory.of_service(service)
+        ]
+        others = [
+            target_id
+            for target_id in (*registered, *self._directory.in_transfer(service))
+            if target_id not in candidates and target_id != primary_id
+        ]
+        return tuple(candidates), tuple(others)
+
+    def _prepare_switchover(self, primary_row: LeadRow, entry: TargetEntry) -> None:
+        """Start a planned switchover once a replica has nearly caught up.
+
+        A replica that receives nothing would stop the service for as long as the
+        replacement waits for it.
+        """
+        service = primary_row.service
+        if service in self._preparing:
+            return
+        self._preparing.add(service)
+
+        async def prepare() -> None:
+            try:
+                replicas = [
+                    replica
+                    for replica in self._directory.usable_targets(service)
+                    if replica.target_id != entry.target_id
+                ]
+                status = await self._admin_client.status(entry)
+                if status is not None and status.is_primary:
+                    await deferLater(self._reactor, CATCH_UP_CHECK_S, lambda: None)
+                    received = await self._admin_client.statuses(replicas)
+                    if all(s.received < status.received for s in received.values()):
+                        return
+            finally:
+                self._preparing.discard(service)
+            if (
+                self._duty.may_order_promotions()
+                and self._fleet.state.primary_row(service) == primary_row
+                and not self._is_replacing(service)
+            ):
+                self._start_promotion(
+                    primary_row, is_planned=True, reason=SWITCHOVER_REASON
+                )
+
+        self.kernel.tasks.start("switchover_prepare", prepare())
+
+    def _is_replacing(self, service: str) -> bool:
+        promotion = self._promotion_by_service.get(service)
+        return promotion is not None and promotion.stage is not PromotionStage.DONE
+
     def _start_actions(self, promotion: Promotion, actions: list[Any]) -> None:
         if actions:
             deferred = Deferred.fromCoroutine(self._perform(promotion, actions))
@@ -243,14 +330,14 @@
         self._promotion_by_service.pop(promotion.service, None)
 
     async def _perform(self, promotion: Promotion, actions: list[Any]) -> None:
-        for action in actions:
-            if not self._is_current(promotion):
-                return
-            match action:
+        # A replacement may compare replicas for long, so actions don't nest.
+        pending = deque(actions)
+        while pending and self._is_current(promotion):
+            match pending.popleft():
                 case MarkMoving():
                     await self._mark_moving(promotion)
                 case ReadStatuses(target_ids):
-                    await self._compare_replicas(promotion, target_ids)
+                    pending.extend(await self._compare_replicas(promotion, target_ids))
                 case DemotePrimary(target_id, term):
                     entry = self._directory.last_known_entry(target_id)
                     if entry is not None:
@@ -258,7 +345,7 @@
                             "demotion", self._admin_client.demote(entry, term)
                         )
                 case RequestPromotion(target_id):
-                    await self._request_promotion(promotion, target_id)
+                    pending.extend(await self._request_promotion(promotion, target_id))
                 case MarkSettled(primary_id, term):
                     await self._mark_settled(promotion, primary_id, term)
 
@@ -337,7 +424,8 @@
 
     async def _compare_replicas(
         self, promotion: Promotion, target_ids: tuple[str, ...]
-    ) -> None:
+    ) -> list[Any]:
+        """Read the replicas' statuses and return the actions that follow."""
         asked_at = now_s()
         entries = [
             entry
@@ -351,6 +439,10 @@
                 and entry.target_id in statuses
             ):
                 self._directory.confirm_entry(entry)
+        if promotion.sync_replicas > 0:
+            promotion.set_replicas(
+                *self._replicas(promotion.service, promotion.old_primary_id)
+            )
         actions = promotion.on_statuses(statuses, now_s())
         log_decision(
             "replicas_compared",
@@ -360,13 +452,24 @@
                 for key, status in statuses.items()
             },
             chosen=promotion.chosen_id,
+            unanswered=[key for key in target_ids if key not in statuses],
         )
-        pause_s = STATUS_INTERVAL_S - (now_s() - asked_at)
-        if pause_s > 0 and any(isinstance(a, ReadStatuses) for a in actions):
+        if promotion.stage is PromotionStage.REVERTING:
+            self._retry_at_by_service[promotion.service] = now_s() + SWITCHOVER_RETRY_S
+        if any(isinstance(action, ReadStatuses) for action in actions):
+            interval_s = (
+                STATUS_INTERVAL_S
+                if asked_at - promotion.compared_at < FAST_COMPARISON_S
+                else SLOW_STATUS_INTERVAL_S
+            )
+            pause_s = max(0.0, interval_s - (now_s() - asked_at))
             await deferLater(self._reactor, pause_s, lambda: None)
-        await self._perform(promotion, actions)
+        return actions
 
-    async def _request_promotion(self, promotion: Promotion, target_id: str) -> None:
+    async def _request_promotion(
+        self, promotion: Promotion, target_id: str
+    ) -> list[Any]:
+        """Request a promotion until it is answered; return what follows."""
         while self._is_current(promotion):
             try:
                 await self._authority.promote(
@@ -383,8 +486,7 @@
                     target=target_id,
                     detail=str(error),
                 )
-                await self._perform(promotion, promotion.on_refused(now_s()))
-                return
+                return promotion.on_refused(now_s())
             except PromotionUnanswered as error:
                 log_decision(
                     "promotion_unanswered",
@@ -393,9 +495,11 @@
                     detail=str(error),
                 )
                 await deferLater(self._reactor, RETRY_DELAY_S, lambda: None)
-        await self._confirm_promotion(promotion, target_id)
+        return await self._confirm_promotion(promotion, target_id)
 
-    async def _confirm_promotion(self, promotion: Promotion, target_id: str) -> None:
+    async def _confirm_promotion(
+        self, promotion: Promotion, target_id: str
+    ) -> list[Any]:
         """Wait until the target itself reports that it is primary of a newer term.
 
         The platform's answer may arrive before the promotion takes effect; until then
@@ -406,13 +510,11 @@
             entry = self._directory.entry(target_id)
             status = await self._admin_client.status(entry) if entry else None
             if status and status.is_primary and status.term > promotion.term:
-                actions = promotion.on_promoted(status.term)
-                await self._perform(promotion, actions)
-                return
+                return promotion.on_promoted(status.term)
             if now_s() > until:
-                await self._perform(promotion, promotion.on_refused(now_s()))
-                return
+                return promotion.on_refused(now_s())
             await deferLater(self._reactor, STATUS_INTERVAL_S, lambda: None)
+        return []
 
     async def _mark_settled(
         self, promotion: Promotion, primary_id: str, term: int
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -57,6 +57,8 @@
         Changes up to this version are dropped from the history.
     team_by_key : dict of str to str
         Teams of the configurations in this table.
+    sync_replicas : int
+        Synchronous replicas of the service in the configurations in this table.
     """
 
     def __init__(self, network: SimNetwork) -> None:
@@ -69,6 +71,7 @@
         self.extra_latency_s = 0.0
         self.compacted_version = 0
         self.team_by_key: dict[str, str] = {}
+        self.sync_replicas = 0
 
     def is_reachable_from(self, host: str) -> bool:
         """Return whether calls of a host are answered."""
@@ -184,7 +187,7 @@
         versions = [row.version for row in rows if row.key == CONFIGURATION_KEY]
         if not versions:
             return None
-        limits = {SERVICE: ServiceLimits()}
+        limits = {SERVICE: ServiceLimits(sync_replicas=self._store.sync_replicas)}
         configuration = SessionConfiguration(
             max(versions),
             limits_by_service=limits,
@@ -215,16 +218,40 @@
     is_alive: bool = True
     renewed_at: float = 0.0
     is_unregistered: bool = False
+    is_draining: bool = False
+    is_deaf: bool = False
+    received: int = 1
 
 
 @dataclass
 class SimGroup:
-    """A service of three targets, and the promotions that were requested."""
+    """A service of three targets, and the promotions that were requested.
+
+    Attributes
+    ----------
+    acknowledged : int
+        End of the commits that a replica has received as well.
+    lost : list of str
+        Ids of targets that were promoted without all acknowledged commits.
+    """
 
     network: SimNetwork
     store: SimStore
     targets: list[SimTarget]
     promotion_calls: list[tuple[str, int]] = field(default_factory=list)
+    acknowledged: int = 1
+    lost: list[str] = field(default_factory=list)
+
+    def commit(self) -> None:
+        """Commit at the leader; replicas that are alive and not deaf receive it."""
+        leader = self.leader
+        if not leader.is_alive:
+            return
+        leader.received += 1
+        for target in self.targets:
+            if target is not leader and target.is_alive and not target.is_deaf:
+                target.received = leader.received
+                self.acknowledged = leader.received
 
     @property
     def leader(self) -> SimTarget:
@@ -261,6 +288,8 @@
         """Make a target the primary of a new term, unless it is down."""
         if not target.is_alive or target is self.leader:
             return
+        if target.received < self.acknowledged:
+            self.lost.append(target.target_id)
         target.is_primary = True
         target.term = target.primary_term = max(t.term for t in self.targets) + 1
 
@@ -284,7 +313,7 @@
                 target.domain,
                 target.host,
                 1,
-                False,
+                target.is_draining,
                 target.is_primary,
             )
             for target in self._group.targets
@@ -347,7 +376,8 @@
         except TargetUnreachable:
             return None
         target = self._find(entry)
-        return TargetStatus(target.is_primary, target.term, LogPosition(1, 1))
+        position = LogPosition(1, target.received)
+        return TargetStatus(target.is_primary, target.term, position)
 
     async def statuses(self, entries: list[TargetEntry]) -> dict[str, TargetStatus]:
         """Return the statuses of the targets that answer."""
