Answer every statement that a drain has accepted

Cause: the drain accepted statements of open transactions until its time was up and waited for idle connections only; stop() closed the others. The trace shows statements sent 4.59 to 4.61 s after the signal, running at a database, and the connection ending at 4.84 s. Ruled out: the database (it answers after 0.25 s) and a kill (the process ends by itself).

Change: DrainSchedule has the times, counted from the signal. Statements of open transactions are accepted for half of the grace period, and after it while the route's objective fits in; later ones are ABORTED. Running ones are awaited and, at the end, answered truthfully. The same for statements that are queued behind another, for idle transactions, and for statements that a host runs for other VMs. The duty is handed over in the background: a silent store kept a stopping VM ready and delayed all steps.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -44,6 +44,8 @@
 )
 """Codes that guarantee that the operation has no lasting effect."""
 
+STOPPING_DETAIL = "the VM is stopping"
+
 
 class SessionTerminated(Exception):
     """The session must be closed after its last answers were sent.
@@ -153,6 +155,8 @@
             self._start_operation(received_at)
         elif self._admission.is_withdrawn(self.key, self.database):
             raise SessionError(FailureCode.ABORTED, "the key was withdrawn")
+        elif kind is not StatementKind.ROLLBACK and self._is_out_of_time(received_at):
+            raise SessionError(FailureCode.ABORTED, STOPPING_DETAIL)
         match kind:
             case StatementKind.SET:
                 self._values.by_name[statement.name] = statement.argument
@@ -171,6 +175,50 @@
                 return await self._commit(request, received_at)
         return await self._forward(request, received_at)
 
+    def _is_out_of_time(self, now: float) -> bool:
+        """Return whether this VM stops too soon for the open transaction to go on."""
+        drain, route = self._admission.drain, self._route
+        if drain is None or route is None:
+            return False
+        return not drain.accepts(now, route.objective_s)
+
+    def give_up(self, request: StatementRequest) -> list[Answer]:
+        """Return the final answers to a running statement, whose result is dropped.
+
+        They promise that nothing is kept unless the statement may take effect alone:
+        the open transaction is rolled back.
+        """
+        statement = request.statement
+        shape = self._values.prepared_by_name.get(statement.name)
+        writes = statement.writes
+        if statement.kind is StatementKind.EXECUTE and shape is not None:
+            writes = shape.writes
+        is_single = self.state is TransactionState.IDLE
+        may_take_effect = statement.kind is StatementKind.COMMIT or (
+            is_single and writes
+        )
+        code = FailureCode.OUTCOME_UNKNOWN if may_take_effect else FailureCode.ABORTED
+        self.give_up_transaction()
+        return self._answer_stopping(request, code)
+
+    def give_up_transaction(self) -> list[Answer]:
+        """Roll back the open transaction and return what tells its caller so."""
+        self.abandon(STOPPING_DETAIL)
+        self.state = TransactionState.IDLE
+        return [StatementFailed(FailureCode.ABORTED, STOPPING_DETAIL)]
+
+    def refuse(self, request: StatementRequest) -> list[Answer]:
+        """Return the answers to a statement that is not run."""
+        return self._answer_stopping(request, FailureCode.ABORTED)
+
+    def _answer_stopping(
+        self, request: StatementRequest, code: FailureCode
+    ) -> list[Answer]:
+        self._admission.record_answer(
+            self._route, request, code.value, self.last_active_at, STOPPING_DETAIL
+        )
+        return [StatementFailed(code, STOPPING_DETAIL), SessionReady(self.state)]
+
     def _start_operation(self, received_at: float) -> None:
         self._route, self._team = self._admission.look_up(self.database, self.key)
         self._began_at = received_at
@@ -268,12 +316,15 @@
         route = self._route
         if route is None:
             raise SessionError(FailureCode.UNKNOWN_DATABASE, "the session has no route")
+        deadline = received_at + route.timeout_s
+        if self._admission.drain is not None:
+            deadline = min(deadline, self._admission.drain.answer_by)
         self._context = StatementContext(
             route=route,
             team=self._team,
             request_id=request.request_id,
             began_at=self._began_at,
-            deadline=received_at + route.timeout_s,
+            deadline=deadline,
             values=self._values,
             session_position=self._position,
             failed_attempts=self._failed_attempts,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
@@ -32,6 +32,7 @@
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 
 if TYPE_CHECKING:
+    from guavabarrow_core.drain_schedule import DrainSchedule
     from guavabarrow_core.session_messages import Statement
     from guavabarrow_core.session_values import PreparedShape
     from guavabarrow_daemon.fleet.fleet_messages import FleetMessage
@@ -85,7 +86,13 @@
 
 
 class ServiceHostService(Service):
-    """Statements and transactions that this VM runs as a host."""
+    """Statements and transactions that this VM runs as a host.
+
+    Attributes
+    ----------
+    drain_schedule : DrainSchedule or None
+        How this VM stops as planned, None unless it does.
+    """
 
     name = "service_host"
 
@@ -99,6 +106,7 @@
         self._metrics = kernel.find(SessionMetrics)
         self._origin_by_vm: dict[str, Origin] = {}
         self._served_at_by_service: dict[str, float] = {}
+        self.drain_schedule: DrainSchedule | None = None
         self._check_loop = kernel.tasks.create_periodic(
             "hosted_work_check", self._check, reactor
         )
@@ -121,13 +129,21 @@
         """Number of statements and transactions of other VMs."""
         return sum(origin.open_work for origin in self._origin_by_vm.values())
 
-    async def drain(self, until: float) -> None:
-        """Wait for the work of other VMs to end, until a local time in s."""
-        while self.open_work and now_s() < until:
+    async def drain(self, schedule: DrainSchedule) -> None:
+        """Wait for the work of other VMs to end, and roll back what can't in time."""
+        while self.open_work and now_s() < schedule.answer_by:
+            if now_s() >= schedule.finish_by:
+                self._roll_back_idle_transactions()
             await deferLater(self._reactor, DRAIN_POLL_S, lambda: None)
         if self.open_work:
             log_decision("hosted_work_left", open_work=self.open_work)
 
+    def _roll_back_idle_transactions(self) -> None:
+        for origin in self._origin_by_vm.values():
+            for number, work in list(origin.work_by_number.items()):
+                if not work.is_running:
+                    self._roll_back(origin, number, work)
+
     def overview(self) -> dict[str, HostedServiceStatus]:
         """Return where the statements of each configured service run, by service."""
         configuration = self._fleet.configuration
@@ -181,6 +197,8 @@
         # A message may have waited in a buffer while this VM was suspended.
         excess_s = origin.delay.excess_s(sent_at=message.sent_at, now=now)
         deadline = now + message.remaining_s - excess_s
+        if self.drain_schedule is not None:
+            deadline = min(deadline, self.drain_schedule.answer_by)
         context = create_context(message, arrived_at=now, deadline=deadline)
         origin.running_by_service[message.service] += 1
         try:
@@ -260,6 +278,10 @@
             raise SessionError(
                 FailureCode.ABORTED, "The statement reached its host too late."
             )
+        schedule = self.drain_schedule
+        if schedule is not None and not schedule.accepts(now_s(), message.objective_s):
+            self._roll_back(origin, number, work)
+            raise SessionError(FailureCode.ABORTED, "The host is stopping.")
         statement, shape = decode_statement(message)
         work.is_running = True
         work.is_committing = statement.kind is StatementKind.COMMIT
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
@@ -17,6 +17,7 @@
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 
 if TYPE_CHECKING:
+    from guavabarrow_core.drain_schedule import DrainSchedule
     from guavabarrow_core.session_configuration import Route, SessionConfiguration
 
 ANONYMOUS_TEAM = "-"
@@ -24,7 +25,13 @@
 
 
 class SessionAdmission(Service):
-    """Access checks and answer statistics of connected sessions."""
+    """Access checks and answer statistics of connected sessions.
+
+    Attributes
+    ----------
+    drain : DrainSchedule or None
+        How this VM stops as planned, None unless it does.
+    """
 
     name = "session_admission"
 
@@ -34,6 +41,7 @@
         self._fleet = kernel.find(FleetService)
         self._metrics = kernel.find(SessionMetrics)
         self._successes = 0
+        self.drain: DrainSchedule | None = None
 
     @property
     def configuration(self) -> SessionConfiguration | None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import connectionDone as CONNECTION_DONE
 from twisted.internet.task import deferLater
 
+from guavabarrow_core.drain_schedule import DrainSchedule
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.session_messages import (
     CloseSession,
@@ -53,16 +54,9 @@
 
 BACKLOG = 512
 EXPIRE_INTERVAL_S = 0.25
-BALANCER_REACTION_S = 2.2
-"""Time in which the load balancer stops sending callers: two failed readiness checks,
-one a second, and a margin."""
-
-DRAIN_MARGIN_S = 1.2
-"""Time at the end of the grace period that is left for stopping the services."""
-
-CLOSE_SPREAD_S = 1.6
-"""Time over which closing idle sessions is spread, so that callers don't reconnect all
-at once."""
+DRAIN_POLL_S = 0.05
+FLUSH_TIMEOUT_S = 0.3
+"""Time in which the last answers are sent before the process ends."""
 
 
 class CallerConnection(Protocol):
@@ -72,7 +66,7 @@
         self._front = front
         self._codec = front.create_codec()
         self._queue: deque[CallerMessage] = deque()
-        self._is_busy = False
+        self._running: StatementRequest | None = None
         self._is_open = False
         self._opened_at = now_s()
         self.session: CallerSession | None = None
@@ -103,19 +97,24 @@
         self._is_open = False
         self._queue.clear()
         self._front.remove(self)
-        if self.session is not None and not self._is_busy:
+        if self.session is not None and not self.is_running:
             self.session.abandon("caller left")
 
+    @property
+    def is_running(self) -> bool:
+        """Whether a statement is running."""
+        return self._running is not None
+
     @property
     def is_idle(self) -> bool:
         """Whether no statement is running or queued and no transaction is open."""
-        if self._is_busy or self._queue:
+        if self.is_running or self._queue:
             return False
         return self.session is None or self.session.state is TransactionState.IDLE
 
     def expire(self, idle_transaction_s: float) -> None:
         """End an idle transaction, or a connection without a session, on timeout."""
-        if self._is_busy:
+        if self.is_running:
             return
         if self.session is not None:
             self.session.expire(idle_transaction_s)
@@ -130,14 +129,33 @@
             self._is_open = False
             self.transport.loseConnection()
 
+    def finish(self) -> None:
+        """Answer all statements without waiting for results, and close the connection.
+
+        A caller whose transaction is open but idle is told that it was rolled back.
+        """
+        if not self._is_open:
+            return
+        answers: list[Answer] = []
+        if self.session is not None:
+            if self._running is not None:
+                answers += self.session.give_up(self._running)
+            elif self.session.state is TransactionState.OPEN:
+                answers += self.session.give_up_transaction()
+            for message in self._queue:
+                if isinstance(message, StatementRequest):
+                    answers += self.session.refuse(message)
+        self._queue.clear()
+        self._write_and_close(answers)
+
     def _process_queue(self) -> None:
-        while self._queue and not self._is_busy and self._is_open:
+        while self._queue and not self.is_running and self._is_open:
             message = self._queue.popleft()
             match message:
                 case OpenSession() if self.session is None:
                     self._open_session(message)
                 case StatementRequest() if self.session is not None:
-                    self._is_busy = True
+                    self._running = message
                     Deferred.fromCoroutine(self._run(self.session, message)).addErrback(
                         self._on_internal_error, message
                     )
@@ -178,11 +196,11 @@
         try:
             answers = await session.handle(request)
         except SessionTerminated as terminated:
-            self._is_busy = False
+            self._running = None
             session.abandon("session over")
             self._write_and_close(terminated.answers)
             return
-        self._is_busy = False
+        self._running = None
         if not self._is_open:
             session.abandon("caller left")
             return
@@ -191,7 +209,7 @@
         self._process_queue()
 
     def _on_internal_error(self, failure: Failure, request: StatementRequest) -> None:
-        self._is_busy = False
+        self._running = None
         log_decision(
             "statement_failed_internally",
             request=request.request_id,
@@ -253,11 +271,14 @@
         self._expiry.start(EXPIRE_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
-        """Close the remaining connections."""
+        """Close the remaining connections once their answers are sent."""
         if self._expiry is not None and self._expiry.running:
             self._expiry.stop()
         for connection in list(self._connections):
-            connection.transport.loseConnection()
+            connection.finish()
+        until = now_s() + FLUSH_TIMEOUT_S
+        while self._connections and now_s() < until:
+            await deferLater(self._reactor, DRAIN_POLL_S, lambda: None)
 
     @property
     def is_ready(self) -> bool:
@@ -286,38 +307,51 @@
             connection.close_idle()
 
     async def drain(self) -> None:
-        """Close all sessions without interrupting a statement.
+        """Close all sessions without losing the answer to a statement.
 
         New sessions are accepted until the load balancer has stopped sending them. Then
-        idle sessions are closed one by one over ``CLOSE_SPREAD_S``, others as soon as
-        an answer leaves them idle. Open transactions have about half of the grace
-        period, up to ``DRAIN_MARGIN_S`` before its end.
+        idle sessions are closed one by one, others as soon as an answer leaves them
+        idle. Open transactions run statements as long as these can be expected to end
+        in time; from ``finish_by`` on, idle ones are rolled back and running statements
+        are awaited, until ``answer_by`` at most.
         """
         self.is_draining = True
-        began_at = now_s()
+        schedule = self.admission.drain or DrainSchedule(
+            now_s(), self._settings.grace_s
+        )
+        self.admission.drain = schedule
         log_decision("drain_begun", sessions=len(self._connections))
-        await deferLater(self._reactor, BALANCER_REACTION_S, lambda: None)
+        await self._wait_until(schedule.close_idle_from)
         self._closing_from = now_s()
-        spread_until = self._closing_from + CLOSE_SPREAD_S
         idle = [c for c in self._connections if c.is_idle]
-        step_s = CLOSE_SPREAD_S / max(1, len(idle))
+        step_s = schedule.close_spread_s / max(1, len(idle))
         for connection in idle:
             connection.close_idle()
             await deferLater(self._reactor, step_s, lambda: None)
-        close_until = began_at + self._settings.grace_s - DRAIN_MARGIN_S
-        while self._connections and now_s() < max(spread_until, close_until):
+        while self._connections and now_s() < schedule.finish_by:
             for connection in list(self._connections):
                 connection.close_idle()
-            await deferLater(self._reactor, 0.05, lambda: None)
+            await deferLater(self._reactor, DRAIN_POLL_S, lambda: None)
+        while self._connections and now_s() < schedule.answer_by:
+            for connection in list(self._connections):
+                if not connection.is_running:
+                    connection.finish()
+            await deferLater(self._reactor, DRAIN_POLL_S, lambda: None)
+        given_up = sum(connection.is_running for connection in self._connections)
+        for connection in list(self._connections):
+            connection.finish()
         if self._port is not None:
             self._port.stopListening()
         log_decision(
             "drain_ended",
             sessions=len(self._connections),
-            open_work=self.open_work,
-            duration_s=round(now_s() - began_at, 2),
+            given_up=given_up,
+            duration_s=round(now_s() - schedule.began_at, 2),
         )
 
+    async def _wait_until(self, at: float) -> None:
+        await deferLater(self._reactor, max(0.0, at - now_s()), lambda: None)
+
     def _expire(self) -> None:
         configuration = self._fleet.configuration
         limit_s = configuration.idle_transaction_s if configuration else 3.0
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -12,6 +12,7 @@
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.task import deferLater
 
+from guavabarrow_core.drain_schedule import DrainSchedule
 from guavabarrow_daemon.fleet.contact_service import ContactService
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.duty_service import DutyService
@@ -28,7 +29,7 @@
 from guavabarrow_daemon.front.hosted_runner import HostedRunner
 from guavabarrow_daemon.front.service_host_service import ServiceHostService
 from guavabarrow_daemon.front.session_admission import SessionAdmission
-from guavabarrow_daemon.front.session_front import DRAIN_MARGIN_S, SessionFront
+from guavabarrow_daemon.front.session_front import SessionFront
 from guavabarrow_daemon.front.session_router import SessionRouter
 from guavabarrow_daemon.front.target_chooser import TargetChooser
 from guavabarrow_daemon.front.target_exchange import TargetExchange
@@ -186,15 +187,23 @@
     async def drain(self) -> None:
         """Hand over the promotion duty, then drain callers' sessions and hosted work.
 
-        The duty stays while a promotion runs. Other VMs are told at once, and select
-        other service hosts.
+        The duty stays while a promotion runs, until the sessions are drained. Other VMs
+        are told at once, and select other service hosts.
         """
-        until = now_s() + self.settings.grace_s - DRAIN_MARGIN_S
+        schedule = DrainSchedule(now_s(), self.settings.grace_s)
+        hosted_work = self.kernel.find(ServiceHostService)
+        duty = self.kernel.find(DutyService)
+        self.kernel.find(SessionAdmission).drain = schedule
+        hosted_work.drain_schedule = schedule
         self.kernel.find(FleetService).announce_leaving()
-        if not self.kernel.find(PromotionService).is_busy:
-            await self.kernel.find(DutyService).hand_over()
+        is_promoting = self.kernel.find(PromotionService).is_busy
+        if not is_promoting:
+            # Not awaited: the store may be slow, and the time for draining is fixed.
+            self.kernel.tasks.start("duty_hand_over", duty.hand_over())
         await self.kernel.find(SessionFront).drain()
-        await self.kernel.find(ServiceHostService).drain(until)
+        await hosted_work.drain(schedule)
+        if is_promoting:
+            self.kernel.tasks.start("duty_hand_over", duty.hand_over())
 
     async def stop(self) -> None:
         """Stop all services."""
--- a/packages/guavabarrow-daemon/tests/sim_hosts.py
+++ b/packages/guavabarrow-daemon/tests/sim_hosts.py
@@ -139,6 +139,7 @@
     def __init__(self) -> None:
         self.rates = self
         self.tokens = 0
+        self.drain = None
 
     async def admit(self, team, *, objective_s):
         self.tokens += 1
--- a/packages/guavabarrow-daemon/tests/test_service_host_failures.py
+++ b/packages/guavabarrow-daemon/tests/test_service_host_failures.py
@@ -8,7 +8,9 @@
 import pytest
 from sim_hosts import TIMEOUT_S, HostedFleet, outcome
 from sim_platform import SERVICE
+from twisted.internet.defer import Deferred
 
+from guavabarrow_core.drain_schedule import DrainSchedule
 from guavabarrow_core.service_host import (
     BYPASS_S,
     LATE_LIMIT,
@@ -20,6 +22,11 @@
 from guavabarrow_daemon.fleet.peer_links import LIVENESS_TIMEOUT_S, PeerLinks
 from guavabarrow_daemon.fleet.primary_watch import PrimaryWatch
 from guavabarrow_daemon.front import service_host_service
+from guavabarrow_daemon.front.service_host_service import ServiceHostService
+from guavabarrow_daemon.operations.clock import now_s
+
+GRACE_S = 3.0
+"""Shorter than the time for which a transaction may be idle."""
 
 AT_ONCE_S = 0.05
 """A few network latencies and steps of the simulation."""
@@ -291,3 +298,27 @@
     assert fleet.execute(caller, "COMMIT") == "completed"
     fleet.run(1.0)
     assert not links[0].is_linked(host)
+
+
+def test_a_host_that_stops_answers_what_it_runs_and_refuses_what_is_too_late(fleet):
+    """Failure: a host's drain ended while statements of transactions were running."""
+    host = fleet.host()
+    running, late, idle = (fleet.caller() for _ in range(3))
+    for caller in (running, late, idle):
+        fleet.execute(caller, "BEGIN")
+        fleet.execute(caller, "READ a")
+    service = fleet.find(host, ServiceHostService)
+    schedule = DrainSchedule(now_s(), GRACE_S)
+    service.drain_schedule = schedule
+    drained: list = []
+    Deferred.fromCoroutine(service.drain(schedule)).addCallback(drained.append)
+    fleet.run(schedule.finish_by - 0.6 - now_s())
+    fleet.router(host).delay_s = 0.65
+    answers = running.send("READ b")
+    fleet.run(0.55)
+    assert fleet.execute(late, "READ c") == "aborted"
+    fleet.run_until(lambda: bool(drained), GRACE_S)
+    assert outcome(answers) == "completed"
+    assert now_s() < schedule.answer_by
+    assert fleet.router(host).open_count == 0
+    assert fleet.execute(idle, "COMMIT") == "aborted"
--- a/packages/guavabarrow-daemon/tests/test_service_hosts.py
+++ b/packages/guavabarrow-daemon/tests/test_service_hosts.py
@@ -11,6 +11,7 @@
 from sim_platform import SERVICE
 from twisted.internet.defer import Deferred
 
+from guavabarrow_core.drain_schedule import DrainSchedule
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.service_host import (
     PING_TIMEOUT_S,
@@ -123,8 +124,8 @@
     fleet.find(host, FleetService).announce_leaving()
     service = fleet.find(host, ServiceHostService)
     drained: list = []
-    until = fleet.network.now + 4.0
-    Deferred.fromCoroutine(service.drain(until)).addCallback(drained.append)
+    schedule = DrainSchedule(fleet.network.now, 5.0)
+    Deferred.fromCoroutine(service.drain(schedule)).addCallback(drained.append)
     fleet.run(AT_ONCE_S + 0.03)
     assert fleet.host() != host != fleet.host(host)
     assert fleet.execute(fleet.caller(), "WRITE b 1") == "completed"
@@ -144,7 +145,8 @@
     fleet.execute(caller, "WRITE a 1")
     drained: list = []
     service = fleet.find(host, ServiceHostService)
-    running = service.drain(fleet.network.now + 1.0)
+    schedule = DrainSchedule(fleet.network.now, 1.25)
+    running = service.drain(schedule)
     Deferred.fromCoroutine(running).addCallback(drained.append)
     fleet.run(0.9)
     assert drained == []
--- a/tests/platform_adapter/local_deployment.py
+++ b/tests/platform_adapter/local_deployment.py
@@ -173,6 +173,7 @@
         keys: tuple[str, ...] = (KEY,),
         rate: float = 500,
         max_connections: int = 20,
+        timeout_ms: int = 3000,
         **limits: float,
     ) -> None:
         """Write the next version of the configuration."""
@@ -184,7 +185,7 @@
                 "Host": kind.replace("_", "-"),
                 "Service": SERVICE,
                 "Kind": kind,
-                "TimeoutMs": 3000,
+                "TimeoutMs": timeout_ms,
                 "TargetLatencyMs": 400,
                 "MaxStalenessMs": 1500,
                 "Priority": 1,
--- a/tests/platform_adapter/standin_platform.py
+++ b/tests/platform_adapter/standin_platform.py
@@ -39,6 +39,7 @@
 
     def __init__(self) -> None:
         self.is_down = False
+        self.is_silent = False
         self.write_responses_to_drop = 0
         self.calls: list[str] = []
         self._rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
@@ -79,6 +80,8 @@
             return self._promote(request)
         if path.path == "/usage":
             return self._report_usage(request)
+        while self.is_silent:
+            time.sleep(0.05)
         if self.is_down:
             return 503, {}
         match path.path:
@@ -252,6 +255,7 @@
         self.ran: list[ExecutedStatement] = []
         self.promotion_delay_s = 0.0
         self.replicates = True
+        self.work_s = 0.0
         self.databases = [
             StandInDatabase(self, f"i-{name}-{number}", number == 0)
             for number in range(size)
@@ -357,6 +361,8 @@
                     return
                 continue
             request_id, _, text = rest.partition(" ")
+            if request_id != "-":
+                time.sleep(self._database.group.work_s)
             with self._database.group.lock:
                 rows, outcome = self._query(request_id, text)
                 if outcome.startswith("ERROR") and self._state == "T":
