--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -45,6 +45,7 @@
 from guavabarrow_daemon.targets.target_admin_client import TargetAdminClient
 
 if TYPE_CHECKING:
+    from guavabarrow_core.session_messages import TargetStatus
     from guavabarrow_core.target_directory import TargetEntry
     from guavabarrow_daemon.store.watched_table import PromotionAuthority
 
@@ -53,6 +54,10 @@
 SLOW_STATUS_INTERVAL_S = 0.25
 """Interval between status queries after ``FAST_COMPARISON_S``, as each takes a slot."""
 
+SILENT_PRIMARY_WAIT_S = 3.0
+"""Time for which the first primary of a service is not settled while another target
+that is listed as primary does not answer."""
+
 SWITCHOVER_RETRY_S = 2.0
 """Pause after a switchover that was reverted because no replica had caught up."""
 
@@ -88,6 +93,7 @@
         self._promotion_by_service: dict[str, Promotion] = {}
         self._acknowledgements: dict[tuple[str, int], dict[str, str]] = {}
         self._initializing: set[str] = set()
+        self._initializing_since: dict[str, float] = {}
         self._other_primary_since: dict[str, float] = {}
         self._retry_at_by_service: dict[str, float] = {}
         self._preparing: set[str] = set()
@@ -188,30 +194,46 @@
         return now - since > LISTING_LAG_S
 
     def _initialize_row(self, service: str) -> None:
-        primaries = [
+        listed = [
             entry
             for entry in self._directory.directory.of_service(service)
             if entry.is_primary
         ]
-        if len(primaries) != 1 or service in self._initializing:
+        if not listed or service in self._initializing:
             return
         self._initializing.add(service)
 
-        async def initialize(entry: TargetEntry) -> None:
+        async def initialize() -> None:
             try:
-                status = await self._admin_client.status(entry)
-                if (
-                    status is not None
-                    and status.is_primary
-                    and self._duty.may_order_promotions()
-                ):
-                    term = status.term
-                    row = LeadRow(service, LeadPhase.SETTLED, entry.target_id, term)
+                statuses = await self._admin_client.statuses(listed)
+                primary_id = self._first_primary(service, listed, statuses)
+                if primary_id is not None and self._duty.may_order_promotions():
+                    term = statuses[primary_id].term
+                    row = LeadRow(service, LeadPhase.SETTLED, primary_id, term)
                     await self._fleet.write(primary_row_key(service), row)
             finally:
                 self._initializing.discard(service)
 
-        self.kernel.tasks.start("primary_row_initialize", initialize(primaries[0]))
+        self.kernel.tasks.start("primary_row_initialize", initialize())
+
+    def _first_primary(
+        self,
+        service: str,
+        listed: list[TargetEntry],
+        statuses: dict[str, TargetStatus],
+    ) -> str | None:
+        """Return the target that leads the newest term, None if it isn't known yet.
+
+        A listed primary that does not answer may lead a newer term, so it is waited
+        for, but not for good: its entry may come from another writer.
+        """
+        leaders = {key: s.term for key, s in statuses.items() if s.is_primary}
+        now = now_s()
+        since = self._initializing_since.setdefault(service, now)
+        is_complete = len(statuses) == len(listed)
+        if not leaders or not (is_complete or now - since > SILENT_PRIMARY_WAIT_S):
+            return None
+        return max(leaders, key=lambda key: leaders[key])
 
     def _start_promotion(
         self,
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -222,6 +222,11 @@
     is_deaf: bool = False
     received: int = 1
 
+    @property
+    def is_listed_as_primary(self) -> bool:
+        """Role in the target's entry."""
+        return self.is_primary
+
 
 @dataclass
 class SimGroup:
@@ -314,7 +319,7 @@
                 target.host,
                 1,
                 target.is_draining,
-                target.is_primary,
+                target.is_listed_as_primary,
             )
             for target in self._group.targets
             if now - self._group.last_renewal(target) < ENTRY_TTL_S
--- a/packages/guavabarrow-daemon/tests/test_fleet_faults.py
+++ b/packages/guavabarrow-daemon/tests/test_fleet_faults.py
@@ -13,6 +13,7 @@
     SimDirectory,
     SimOrders,
     SimTable,
+    SimTarget,
     publish_configuration,
 )
 
@@ -521,3 +522,19 @@
     fleet.group.crash(fleet.group.leader)
     fleet.run_until(fleet.is_serving, FAILOVER_S)
     fleet.assert_invariants()
+
+
+@pytest.mark.parametrize("answers", [False, True])
+def test_another_entry_that_claims_to_be_the_primary_does_not_stop_a_first_start(
+    monkeypatch, answers
+):
+    """No primary was ever settled if two entries claimed the role."""
+    fleet = SimFleet(monkeypatch)
+    other = SimTarget("other", "east", "other-host", is_primary=True)
+    other.is_alive, other.renewed_at = answers, 1e9
+    fleet.group.targets.append(other)
+    if answers:
+        other.is_primary = False
+        monkeypatch.setattr(SimTarget, "is_listed_as_primary", property(lambda t: True))
+    fleet.run_until(lambda: fleet.is_serving("target-north"), RECOVERY_S)
+    fleet.assert_invariants()
--- a/tests/platform_adapter/test_operator_tables.py
+++ b/tests/platform_adapter/test_operator_tables.py
@@ -86,6 +86,17 @@
     msgspec.msgpack.encode(entries)
 
 
+@pytest.mark.parametrize("name", ENTRY)
+@pytest.mark.parametrize("value", [None, [], "absent"])
+def test_an_entry_names_no_target_unless_all_its_fields_are_there(name, value):
+    """Defaults stood in for start time and slots, so another writer's entry counted."""
+    fields = {**ENTRY, name: value}
+    if value == "absent":
+        del fields[name]
+    with pytest.raises(UndecodableValue):
+        decode_entry("t", json.dumps(fields).encode())
+
+
 def test_an_unreadable_configuration_is_left_out():
     """The loop that reads the operators' table ended as well."""
     value = b'{"Extra": ' + b"[" * 40_000
