End open transactions in an evacuated failure domain in time

Cause: an evacuation was checked only when a target is chosen. The rule counts every statement to the domain; only draining counts just the first one of a transaction. The transaction can't move, since its statements run on one connection.

Change: 2 s after the VM learned of the evacuation, the next statement gets ABORTED and the transaction is rolled back; also at a primary that no replica can replace.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -104,6 +104,7 @@
         self._drained_at_by_id: dict[str, float] = {}
         self.list_digest = 0
         self._unusable_since: dict[str, float] = {}
+        self._evacuated_since: dict[str, float] = {}
         self._is_stopping = False
         self._reported_problems: set[str] = set()
         self._trim_loop: LoopingCall | None = None
@@ -148,6 +149,14 @@
             and entry.domain not in self._fleet.evacuated
         )
 
+    def evacuated_s(self, target_id: str) -> float:
+        """Return for how long a target's failure domain has been evacuated, in s."""
+        entry = self.entry(target_id)
+        if entry is None or entry.domain not in self._fleet.evacuated:
+            return 0.0
+        since = self._evacuated_since.get(entry.domain)
+        return 0.0 if since is None else now_s() - since
+
     def unusable_s(self, target_id: str) -> float:
         """Return for how long a target has been excluded from new work, in s."""
         since = self._unusable_since.get(target_id)
@@ -342,6 +351,10 @@
                 self._unusable_since.pop(target_id, None)
             else:
                 self._unusable_since.setdefault(target_id, now)
+        for domain in self._fleet.evacuated:
+            self._evacuated_since.setdefault(domain, now)
+        for domain in set(self._evacuated_since) - self._fleet.evacuated:
+            del self._evacuated_since[domain]
         for target_id in set(self._unusable_since) - set(self.directory.entry_by_id):
             del self._unusable_since[target_id]
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_router.py
@@ -40,6 +40,11 @@
 """Pause before a retry at a target that had no free slot: half the time of a
 statement."""
 
+EVACUATION_GRACE_S = 2.0
+"""Time for which open read transactions go on at a target whose failure domain is
+evacuated; the deployments require that all statements to it end within 5 s, of which
+the order may take up to 3 s to reach this VM."""
+
 MAX_READ_ATTEMPTS = 5
 """Three targets, and further attempts at replicas that lagged behind."""
 
@@ -52,10 +57,11 @@
     def __init__(self, kernel: Kernel, reactor: Any) -> None:
         super().__init__(kernel)
         self._reactor = reactor
+        self._directory = kernel.find(DirectoryService)
         self._primary_service = kernel.find(PrimaryService)
         self._chooser = kernel.find(TargetChooser)
         self._exchange = kernel.find(TargetExchange)
-        self._codec = kernel.find(DirectoryService).create_codec()
+        self._codec = self._directory.create_codec()
 
     # Single statements
 
@@ -291,6 +297,14 @@
                 "The transaction lost its connection or primary and is rolled back.",
                 retry_after_s=RETRY_AFTER_S,
             )
+        if self._directory.evacuated_s(target_id) > EVACUATION_GRACE_S:
+            # It can't move: its statements run on one connection.
+            await self.roll_back(transaction)
+            raise SessionError(
+                FailureCode.ABORTED,
+                "The failure domain of the transaction's target is being evacuated.",
+                retry_after_s=RETRY_AFTER_S,
+            )
         data, restore_count = self._exchange.restore_session(context, connection, shape)
         data += self._codec.encode_statement(
             context.request_id,
--- a/tests/platform_adapter/test_session_fleet.py
+++ b/tests/platform_adapter/test_session_fleet.py
@@ -39,6 +39,22 @@
     wait_for(lambda: deployment.can_write(vm), "writes work again")
 
 
+@pytest.mark.parametrize("begin", ["BEGIN READ", "BEGIN"])
+def test_an_open_transaction_leaves_an_evacuated_domain_in_time(deployment, begin):
+    """Read transactions went on at a replica there until they ended."""
+    vm = deployment.start_vm("vm-1")
+    caller = Caller(vm.front, "read-your-writes")
+    caller.execute(begin)
+    assert caller.execute("READ a1")[1].startswith("COMPLETE ")
+    deployment.store.put("op", "evacuate/north", {})
+    until = time.monotonic() + EVACUATION_LIMIT_S
+    outcome = "COMPLETE"
+    while outcome.startswith("COMPLETE") and time.monotonic() < until:
+        time.sleep(0.3)
+        outcome = caller.execute("READ a1")[1]
+    assert outcome.startswith("ERROR ABORTED")
+
+
 def test_a_draining_primary_is_replaced_without_a_write_in_doubt(deployment):
     vm = deployment.start_vm("vm-1")
     group = deployment.group
