Check the promotion duty again before the request is sent

Change: the call that promotes asks may_send once the connection is open, as the report of usage does. A withdrawn request is logged and the replacement left to the successor.

Measured: in the test the former holder sent a request after it had handed over; it sends none now.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -41,6 +41,7 @@
 from guavabarrow_daemon.store.watched_table import (
     PromotionRefused,
     PromotionUnanswered,
+    PromotionWithdrawn,
 )
 from guavabarrow_daemon.targets.target_admin_client import TargetAdminClient
 
@@ -384,6 +385,13 @@
         del self._promotion_by_service[promotion.service]
         return False
 
+    def _may_order(self, promotion: Promotion, token: int) -> bool:
+        """Return whether a promotion may be requested under a fencing token."""
+        return (
+            self._is_current(promotion)
+            and self._fleet.state.version_of(DUTY_KEY) == token
+        )
+
     async def _mark_moving(self, promotion: Promotion) -> None:
         row = LeadRow(
             promotion.service,
@@ -492,15 +500,25 @@
         self, promotion: Promotion, target_id: str
     ) -> list[Any]:
         """Request a promotion until it is answered; return what follows."""
+        token = self._fleet.state.version_of(DUTY_KEY)
         while self._is_current(promotion):
             try:
                 await self._authority.promote(
                     promotion.service,
                     target_id,
                     holder=self._fleet.state.vm,
-                    fencing_token=self._fleet.state.version_of(DUTY_KEY),
+                    fencing_token=token,
+                    may_send=lambda: self._may_order(promotion, token),
                 )
                 break
+            except PromotionWithdrawn as error:
+                log_decision(
+                    "promotion_withdrawn",
+                    service=promotion.service,
+                    target=target_id,
+                    detail=str(error),
+                )
+                return []
             except PromotionRefused as error:
                 log_decision(
                     "promotion_refused",
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
@@ -138,6 +138,10 @@
     """No response arrived; the promotion may or may not have been carried out."""
 
 
+class PromotionWithdrawn(GuavabarrowError):
+    """The request wasn't sent, because the sender no longer holds the duty."""
+
+
 class UsageReportRefused(GuavabarrowError):
     """The platform rejects a usage report; repeating it is useless.
 
@@ -205,14 +209,34 @@
 
     @abstractmethod
     async def promote(
-        self, service: str, target_id: str, *, holder: str, fencing_token: int
+        self,
+        service: str,
+        target_id: str,
+        *,
+        holder: str,
+        fencing_token: int,
+        may_send: Callable[[], bool],
     ) -> None:
         """Promote a target and return once it is the primary.
 
+        Parameters
+        ----------
+        service, target_id : str
+            Service, and the target to promote.
+        holder : str
+            VM that holds the duty.
+        fencing_token : int
+            Version of the duty's row.
+        may_send : callable
+            Called immediately before the request is sent; returns whether this VM
+            still holds the duty under this token.
+
         Raises
         ------
         PromotionRefused
             If the target is unknown or not running.
         PromotionUnanswered
             If no usable response arrived.
+        PromotionWithdrawn
+            If ``may_send`` returned false.
         """
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -18,6 +18,7 @@
     OperatorSource,
     PromotionAuthority,
     PromotionRefused,
+    PromotionWithdrawn,
     TableReadResult,
     TableRow,
     TableWriteResult,
@@ -26,6 +27,8 @@
 from guavabarrow_daemon.targets.interface import TargetUnreachable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sim_network import SimNetwork, SimReactor
 
 CALL_LATENCY_S = 0.004
@@ -234,6 +237,8 @@
 
     Attributes
     ----------
+    connect_s : float
+        Time that connecting to the service that promotes takes.
     acknowledged : int
         End of the commits that a replica has received as well.
     lost : list of str
@@ -244,6 +249,7 @@
     store: SimStore
     targets: list[SimTarget]
     promotion_calls: list[tuple[str, int]] = field(default_factory=list)
+    connect_s: float = 0.0
     acknowledged: int = 1
     lost: list[str] = field(default_factory=list)
 
@@ -335,11 +341,20 @@
         self._reactor = reactor
 
     async def promote(
-        self, service: str, target_id: str, *, holder: str, fencing_token: int
+        self,
+        service: str,
+        target_id: str,
+        *,
+        holder: str,
+        fencing_token: int,
+        may_send: Callable[[], bool],
     ) -> None:
         """Request a promotion."""
         group = self._group
         target = next(t for t in group.targets if t.target_id == target_id)
+        await deferLater(self._reactor, group.connect_s, lambda: None)
+        if not may_send():
+            raise PromotionWithdrawn(target_id)
         await deferLater(self._reactor, CALL_LATENCY_S, lambda: None)
         group.promotion_calls.append((holder, fencing_token))
         if not target.is_alive:
--- a/packages/guavabarrow-daemon/tests/test_fleet_faults.py
+++ b/packages/guavabarrow-daemon/tests/test_fleet_faults.py
@@ -16,9 +16,12 @@
     SimTarget,
     publish_configuration,
 )
+from twisted.internet.defer import Deferred
 
 from guavabarrow_core import fleet_state
 from guavabarrow_core.fleet_state import FleetState
+from guavabarrow_daemon.fleet.duty_service import DutyService
+from guavabarrow_daemon.fleet.promotion_service import PromotionService
 
 FAILOVER_S = 4.0
 """Limit for a failover with all VMs reachable: detection, acknowledgements of all VMs,
@@ -538,3 +541,18 @@
         monkeypatch.setattr(SimTarget, "is_listed_as_primary", property(lambda t: True))
     fleet.run_until(lambda: fleet.is_serving("target-north"), RECOVERY_S)
     fleet.assert_invariants()
+
+
+def test_a_holder_that_hands_over_while_it_connects_orders_no_promotion(fleet):
+    """A request under an older fencing token would follow the successor's."""
+    fleet.group.connect_s = 1.0
+    holder = fleet.holder()
+    kernel = fleet.vm_by_name[holder].kernel
+    fleet.group.crash(fleet.group.leader)
+    fleet.run_until(
+        lambda: kernel.find(PromotionService)._has_pending_request(), FAILOVER_S
+    )
+    Deferred.fromCoroutine(kernel.find(DutyService).hand_over())
+    fleet.run_until(fleet.is_serving, PARTITION_FAILOVER_S)
+    assert holder not in [vm for vm, _ in fleet.group.promotion_calls]
+    fleet.assert_invariants()
