Stop all services of a VM also if its drain or one service fails

Change: the drain and each service's stop run as background tasks whose failure is logged; the others follow.

Measured: the test's first service was not stopped before and is now.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/kernel.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/kernel.py
@@ -88,6 +88,6 @@
             await service.start()
 
     async def stop(self) -> None:
-        """Stop all services in reverse order."""
+        """Stop all services in reverse order, the others also if one of them fails."""
         for service in reversed(list(self._service_by_name.values())):
-            await service.stop()
+            await self.tasks.start(f"{service.name}_stop", service.stop())
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/main.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/main.py
@@ -53,10 +53,11 @@
         if len(received_signals) > 1:
             reactor.callFromThread(reactor.stop)
             return
-        reactor.callFromThread(lambda: Deferred.fromCoroutine(shut_down()))
+        reactor.callFromThread(lambda: vm.kernel.tasks.start("shut_down", shut_down()))
 
     async def shut_down() -> None:
-        await vm.drain()
+        # Its failure is logged; the services are stopped all the same.
+        await vm.kernel.tasks.start("drain", vm.drain())
         await vm.stop()
         reactor.stop()
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -225,11 +225,14 @@
     def on_signal(number: int, frame: object) -> None:
         received_signals.append(number)
         if len(received_signals) == 1:
-            reactor.callFromThread(lambda: Deferred.fromCoroutine(shut_down()))
+            reactor.callFromThread(
+                lambda: vm.kernel.tasks.start("shut_down", shut_down())
+            )
 
     async def shut_down() -> None:
         log_decision("signal_to_stop", grace_s=settings.grace_s)
-        await vm.drain()
+        # Its failure is logged; the services are stopped all the same.
+        await vm.kernel.tasks.start("drain", vm.drain())
         await vm.stop()
         await deferLater(reactor, 0.05, lambda: None)
         reactor.stop()
--- a/packages/guavabarrow-daemon/tests/test_background.py
+++ b/packages/guavabarrow-daemon/tests/test_background.py
@@ -17,7 +17,7 @@
     STABLE_AFTER_S,
     BackgroundTasks,
 )
-from guavabarrow_daemon.kernel import Kernel
+from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 
 
@@ -123,3 +123,27 @@
     kernel.tasks.start("probe", run()).addBoth(results.append)
     assert results == [None]
     assert b'background_failures_total{task="probe"} 1.0' in metrics.render()
+
+
+def test_services_are_stopped_also_if_one_of_them_fails():
+    """Connections of the others stayed open until the process was killed."""
+    kernel = Kernel()
+    kernel.tasks.log = lambda event, **fields: None
+    stopped = []
+
+    class FirstService(Service):
+        name = "first"
+
+        async def stop(self) -> None:
+            stopped.append(self.name)
+
+    class FailingService(Service):
+        name = "failing"
+
+        async def stop(self) -> None:
+            raise OSError
+
+    kernel.register(FirstService(kernel))
+    kernel.register(FailingService(kernel))
+    Deferred.fromCoroutine(kernel.stop())
+    assert stopped == ["first"]
