Supervise the background work of the HTTP assembly as well

Change: its loops and tasks are started by the kernel's BackgroundTasks, with the counter guavabarrow_background_failures, and bytes from outside are decoded by decode_value. A test fails if a module of the daemon starts a coroutine or a loop otherwise; nine places with a handler of their own are listed there.

--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet.py
@@ -273,7 +273,7 @@
     """
     try:
         fleet = msgspec.json.decode(document, type=Fleet)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise ConfigurationError(f"Invalid configuration document: {error}") from error
     fleet.check()
     return fleet
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/admin_api.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/admin_api.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from twisted.internet.defer import Deferred
 
 from guavabarrow_core.exceptions import ConfigurationConflict, ConfigurationError
 from guavabarrow_core.fleet_change import Change
 from guavabarrow_core.membership import MemberState
 from guavabarrow_daemon.configuration_service import ConfigurationService
+from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.drain_service import DrainService
 from guavabarrow_daemon.group_service import GroupService
 from guavabarrow_daemon.http.site import Routes, TrackedSite, answer, answer_json
@@ -50,6 +50,9 @@
     base_version: int | None = None
 
 
+CHANGE_DECODER = msgspec.json.Decoder(ChangeRequest)
+
+
 class ChangeAnswer(msgspec.Struct, frozen=True):
     """Configuration version that contains the change."""
 
@@ -272,14 +275,14 @@
 
     async def _apply_change(self, request: Request) -> None:
         try:
-            body = msgspec.json.decode(request.content.read(), type=ChangeRequest)
+            body = decode_value(CHANGE_DECODER, request.content.read())
             version = await self._configuration.change(
                 tuple(body.changes),
                 base_version=body.base_version,
                 operation_id=body.operation_id,
                 author=body.author,
             )
-        except msgspec.MsgspecError as error:
+        except UndecodableValue as error:
             answer_json(request, 400, AdminProblem("bad_request", str(error)))
         except ConfigurationConflict as error:
             answer_json(request, 409, AdminProblem("conflict", str(error)))
@@ -290,7 +293,9 @@
 
     async def _start_drain(self, request: Request) -> None:
         answer_json(request, 202, {})
-        self._reactor.callLater(0, lambda: Deferred.fromCoroutine(self._run_drain()))
+        self._reactor.callLater(
+            0, lambda: self.kernel.tasks.start("drain_request", self._run_drain())
+        )
 
     async def _run_drain(self) -> None:
         self._on_drain()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
@@ -34,6 +34,7 @@
     StatementBody,
 )
 from guavabarrow_daemon.configuration_service import ConfigurationService
+from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.drain_service import DrainService
 from guavabarrow_daemon.front.interface import CallerFront
 from guavabarrow_daemon.http.site import Routes, TrackedSite, answer
@@ -280,8 +281,8 @@
         self, request: Request, context: CallerContext
     ) -> StatementBody:
         try:
-            body = self._body_decoder.decode(request.content.getvalue())
-        except msgspec.MsgspecError as error:
+            body = decode_value(self._body_decoder, request.content.getvalue())
+        except UndecodableValue as error:
             raise BadRequest(f"The body is not a valid statement: {error}") from error
         # Re-encodes the decoded body, because JSON escapes could hide the key.
         if context.key.encode() in msgspec.json.encode((body.sql, body.params)):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
@@ -6,7 +6,6 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from guavabarrow_core.configuration_chain import (
     Accepted,
@@ -23,6 +22,7 @@
 from guavabarrow_core.exceptions import ConfigurationError
 from guavabarrow_core.fleet import decode_fleet, encode_fleet
 from guavabarrow_core.fleet_change import Revision
+from guavabarrow_daemon.decoding import decode_value
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.membership_service import MembershipService
 from guavabarrow_daemon.metrics import Metrics
@@ -61,6 +61,10 @@
     snapshot: int = 0
 
 
+HEAD_DECODER = msgspec.json.Decoder(Head)
+REVISION_DECODER = msgspec.json.Decoder(Revision)
+
+
 class ConfigurationService(Service):
     """Maintains this VM's copy of the configuration chain.
 
@@ -99,8 +103,9 @@
         self._membership = kernel.find(MembershipService)
         self._peers = kernel.find(Peers)
         self._metrics = kernel.find(Metrics)
-        self._loop = LoopingCall(self._poll)
-        self._loop.clock = reactor
+        self._loop = kernel.tasks.create_periodic(
+            "configuration_poll", self._poll, reactor
+        )
         self.chain = ConfigurationChain()
         self.on_change: list[Callable[[Fleet], None]] = []
 
@@ -231,7 +236,7 @@
         answer = await self._table.read(Read(keys=[HEAD_KEY]))
         head, head_revision = Head(), 0
         if answer.rows:
-            head = msgspec.json.decode(answer.rows[0].value, type=Head)
+            head = decode_value(HEAD_DECODER, answer.rows[0].value.encode())
             head_revision = answer.rows[0].revision
         if head.version != revision.version - 1:
             return False
@@ -256,7 +261,7 @@
             await self._objects.put(name, encode_fleet(self.fleet))
             answer = await self._table.read(Read(keys=[HEAD_KEY]))
             row = answer.rows[0]
-            head = msgspec.json.decode(row.value, type=Head)
+            head = decode_value(HEAD_DECODER, row.value.encode())
             await self._table.transact(
                 Transact(
                     conditions=[Condition(HEAD_KEY, row.revision)],
@@ -271,7 +276,9 @@
         answer = await self._table.read(
             Read(prefix=REVISION_PREFIX, after=after, limit=READ_LIMIT)
         )
-        return [msgspec.json.decode(row.value, type=Revision) for row in answer.rows]
+        return [
+            decode_value(REVISION_DECODER, row.value.encode()) for row in answer.rows
+        ]
 
     def _poll(self) -> Deferred[None] | None:
         rank = self._membership.rank("configuration", self._settings.domain)
@@ -289,7 +296,7 @@
         answer = await self._table.read(Read(keys=[HEAD_KEY]))
         if not answer.rows:
             return
-        head = msgspec.json.decode(answer.rows[0].value, type=Head)
+        head = decode_value(HEAD_DECODER, answer.rows[0].value.encode())
         previous_version = self.chain.version
         if head.snapshot > self.chain.version:
             await self._install_snapshot(head.snapshot)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/drain_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/drain_service.py
@@ -5,7 +5,6 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from guavabarrow_core.exceptions import Draining, NoConfiguration
@@ -136,7 +135,7 @@
         if fleet.is_out(self._settings.domain):
             if self.readiness in (Readiness.READY, Readiness.STARTING):
                 self._membership.announce(leaving=True)
-                Deferred.fromCoroutine(self._wait_notice_period())
+                self.kernel.tasks.start("drain_notice", self._wait_notice_period())
             return
         if self.readiness is not Readiness.READY:
             self._membership.announce(leaving=False)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/entry_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/entry_vm.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from guavabarrow_daemon.admin_api import AdminApi
@@ -56,6 +57,7 @@
         self.kernel = Kernel()
         incarnation = create_incarnation()
         kernel = self.kernel
+        kernel.tasks.log = partial(log_state, settings.vm)
         metrics = Metrics(kernel)
         kernel.register(metrics)
         self._platform = create_platform(settings, reactor, metrics)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/group.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/group.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from guavabarrow_core.group_monitor import (
     Action,
@@ -35,6 +34,7 @@
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Service as ServiceEntry
     from guavabarrow_core.fleet import Target
+    from guavabarrow_daemon.background import BackgroundTasks
     from guavabarrow_daemon.membership_service import MembershipService
     from guavabarrow_daemon.metrics import Metrics
     from guavabarrow_daemon.permit_service import PermitService
@@ -67,6 +67,7 @@
     metrics: Metrics
     membership: MembershipService
     reactor: Any
+    tasks: BackgroundTasks
     owner: str
     recorder: TraceRecorder | None = None
 
@@ -99,8 +100,9 @@
         self._logged_primary: str | None = None
         self._all_probed_at = float("-inf")
         self.monitor = self._create_monitor(entry)
-        self._loop = LoopingCall(lambda: self.step(Tick()))
-        self._loop.clock = context.reactor
+        self._loop = context.tasks.create_periodic(
+            f"group_tick_{entry.name}", lambda: self.step(Tick()), context.reactor
+        )
         self._loop.start(TICK_INTERVAL_S, now=False)
 
     @property
@@ -245,7 +247,7 @@
         context = self.context
         address = context.settings.resolve_address(target.host, target.port)
         control = context.driver.control(*address)
-        watch = TargetWatch(target, control, self, context.reactor)
+        watch = TargetWatch(target, control, self, context.reactor, context.tasks)
         self.targets.watch_by_target[target.name] = watch
         self.targets.pool_by_target[target.name] = PermitPool(
             target,
@@ -253,6 +255,7 @@
             driver=context.driver,
             permits=context.permits,
             reactor=context.reactor,
+            tasks=context.tasks,
             is_fair=context.settings.policies.queue == "fair",
         )
 
@@ -315,9 +318,9 @@
     def _perform(self, action: Action) -> None:
         match action:
             case SendFence(database, term):
-                Deferred.fromCoroutine(self._fence(database, term))
+                self.context.tasks.start("fence", self._fence(database, term))
             case SendPromote(database, term):
-                Deferred.fromCoroutine(self._promote(database, term))
+                self.context.tasks.start("promote", self._promote(database, term))
             case PromotionEnded():
                 self._record_promotion(action)
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/group_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/group_service.py
@@ -57,6 +57,7 @@
             kernel.find(Metrics),
             kernel.find(MembershipService),
             reactor,
+            kernel.tasks,
             owner=f"{settings.vm}/{incarnation}",
             recorder=TraceRecorder(settings.trace) if settings.trace else None,
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_runner.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_runner.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.defer import Deferred
-
 from guavabarrow_core.lease import (
     Claim,
     Lease,
@@ -81,7 +79,7 @@
         """Step the lease and perform its actions on the store."""
         now = self._reactor.seconds()
         for action in self._lease.step(self._create_tick(), now):
-            Deferred.fromCoroutine(self._perform(action))
+            self._membership.kernel.tasks.start("lease_action", self._perform(action))
         self._on_step()
 
     async def release(self) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_store.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/lease_store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from guavabarrow_core.lease import LeaseRow
+from guavabarrow_daemon.decoding import decode_value
 from guavabarrow_daemon.store.messages import Condition, Put, Read, Transact
 
 if TYPE_CHECKING:
@@ -21,6 +22,9 @@
     renewal: int
 
 
+LEASE_DECODER = msgspec.json.Decoder(StoredLease)
+
+
 class LeaseStore:
     """Reads and conditionally writes one lease row.
 
@@ -42,7 +46,7 @@
         if not answer.rows:
             return LeaseRow()
         row = answer.rows[0]
-        value = msgspec.json.decode(row.value, type=StoredLease)
+        value = decode_value(LEASE_DECODER, row.value.encode())
         return LeaseRow(value.holder, value.epoch, value.renewal, row.revision)
 
     async def write(self, row: LeaseRow) -> tuple[LeaseRow, bool]:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/ledger_service.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from guavabarrow_core.exceptions import Overloaded, RateExceeded
 from guavabarrow_core.fleet import OPEN_TEAM, TeamLimits
@@ -88,8 +87,7 @@
         self._held_epoch = 0
         self._grants_from = 0.0
         self._ask_id = 0
-        self._loop = LoopingCall(self._tick)
-        self._loop.clock = reactor
+        self._loop = kernel.tasks.create_periodic("ledger_tick", self._tick, reactor)
 
     @property
     def is_holder(self) -> bool:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/membership_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/membership_service.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
 
 from guavabarrow_core.membership import HEARTBEAT_S, Heartbeat, Membership, MemberState
 from guavabarrow_core.rendezvous import rank_of
@@ -60,10 +59,10 @@
         self._reactor = reactor
         self._peers = kernel.find(Peers)
         self._incarnation = incarnation
-        self._loop = LoopingCall(self._gossip)
-        self._loop.clock = reactor
-        self._vm_list_loop = LoopingCall(self._read_vm_list)
-        self._vm_list_loop.clock = reactor
+        self._loop = kernel.tasks.create_periodic("gossip", self._gossip, reactor)
+        self._vm_list_loop = kernel.tasks.create_periodic(
+            "vm_list_read", self._read_vm_list, reactor
+        )
         self._changes: dict[str, object] = {}
         self._last_alive: set[str] = set()
         self.on_change: list[Callable[[], None]] = []
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/metrics.py
@@ -37,6 +37,12 @@
     def __init__(self, kernel: Kernel) -> None:
         super().__init__(kernel)
         self.registry = CollectorRegistry()
+        self.background_failures = self._counter(
+            "background_failures", "Failures of background tasks", "task"
+        )
+        kernel.tasks.on_failure.append(
+            lambda task: self.background_failures.labels(task).inc()
+        )
         self.requests = self._counter(
             "requests", "Answers to callers by result", "team", "code", "ran"
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/peers.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/peers.py
@@ -15,6 +15,7 @@
 from twisted.internet.interfaces import IReadDescriptor
 from zope.interface import implementer
 
+from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.metrics import Metrics
 from guavabarrow_daemon.peer_messages import (
@@ -181,8 +182,8 @@
             self._metrics.peer_messages.labels("forged", "unknown").inc()
             return
         try:
-            envelope = self._decoder.decode(body)
-        except msgspec.MsgspecError:
+            envelope = decode_value(self._decoder, body)
+        except UndecodableValue:
             self._metrics.peer_messages.labels("malformed", "unknown").inc()
             return
         number = (envelope.incarnation, envelope.sequence)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/permit_service.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from twisted.internet.task import LoopingCall
-
 from guavabarrow_core.permits import (
     REGISTRATION_S,
     PermitGrant,
@@ -83,8 +81,7 @@
         self._budget_by_target: dict[str, int] = {}
         self._holder_since: float | None = None
         self._ask_id = 0
-        self._loop = LoopingCall(self._tick)
-        self._loop.clock = reactor
+        self._loop = kernel.tasks.create_periodic("permit_tick", self._tick, reactor)
 
     async def start(self) -> None:
         """Start renewing permits."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/http_client.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/http_client.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.store.exceptions import StoreUnavailable
 from guavabarrow_daemon.store.http_caller import HttpStoreCaller
 from guavabarrow_daemon.store.interface import (
@@ -116,8 +117,8 @@
         if response.status != 200:
             raise StoreUnavailable(f"The platform returned status {response.status}.")
         try:
-            return msgspec.json.decode(response.body, type=response_type)
-        except msgspec.MsgspecError as error:
+            return decode_value(msgspec.json.Decoder(response_type), response.body)
+        except UndecodableValue as error:
             raise StoreUnavailable(
                 f"Malformed response of the platform: {error}"
             ) from error
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/target_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/target_watch.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from guavabarrow_core.fleet import Target
+    from guavabarrow_daemon.background import BackgroundTasks
 
 LONG_POLL_S = 0.5
 WATCH_TIMEOUT_S = 1.0
@@ -59,6 +60,7 @@
         control: TargetControl,
         group: ReportReceiver,
         reactor: Any,
+        tasks: BackgroundTasks,
     ) -> None:
         self.target = target
         self.control = control
@@ -66,7 +68,8 @@
         self._reactor = reactor
         self._running = True
         self._pause: Deferred[None] | None = None
-        Deferred.fromCoroutine(self._run())
+        self._tasks = tasks
+        tasks.start_loop(f"target_watch_{target.name}", self._run, reactor)
 
     def wake(self) -> None:
         """End the pause between two probes early."""
@@ -81,7 +84,7 @@
 
     def probe_now(self) -> None:
         """Request the status at once, in parallel with the running long poll."""
-        Deferred.fromCoroutine(self._probe())
+        self._tasks.start("target_probe", self._probe())
 
     async def _probe(self) -> None:
         sent_at = self._reactor.seconds()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/http_driver.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/http_driver.py
@@ -7,6 +7,7 @@
 import msgspec
 from twisted.internet.defer import CancelledError
 
+from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.http.client_connection import (
     ConnectionBroken,
     HttpClientConnection,
@@ -44,6 +45,8 @@
 
 Answer = TypeVar("Answer")
 
+PROBLEM_DECODER = msgspec.json.Decoder(TargetProblem)
+
 
 class Empty(msgspec.Struct, frozen=True):
     """Request or answer without content."""
@@ -230,9 +233,9 @@
             timer.cancel()
     try:
         if response.status == 200:
-            return msgspec.json.decode(response.body, type=answer_type)
-        problem = msgspec.json.decode(response.body, type=TargetProblem)
-    except msgspec.MsgspecError as error:
+            return decode_value(msgspec.json.Decoder(answer_type), response.body)
+        problem = decode_value(PROBLEM_DECODER, response.body)
+    except UndecodableValue as error:
         connection.abort()
         raise TargetConnectionBroken(f"{path}: malformed answer: {error}") from error
     raise TargetRefused(problem.code, problem.detail)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/permit_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/permit_pool.py
@@ -10,6 +10,7 @@
 
 from guavabarrow_core.exceptions import DeadlineExceeded, GuavabarrowError
 from guavabarrow_core.fair_queue import FairQueue, QueuedItem
+from guavabarrow_daemon.background import BackgroundTasks
 from guavabarrow_daemon.permit_service import PermitAccount, PermitService
 from guavabarrow_daemon.targets.interface import (
     SqlConnection,
@@ -79,6 +80,8 @@
         Grants permits, which limit the number of connections.
     reactor : object
         Source of time and timers.
+    tasks : BackgroundTasks, optional
+        Runs the opening of connections.
     is_fair : bool
         Whether teams are served by weight; False serves first come, first served, as a
         baseline for comparison.
@@ -92,6 +95,7 @@
         driver: SqlDriver,
         permits: PermitService,
         reactor: Any,
+        tasks: BackgroundTasks | None = None,
         is_fair: bool = True,
     ) -> None:
         self.target = target
@@ -100,6 +104,7 @@
         self._driver = driver
         self._permits = permits
         self._reactor = reactor
+        self._tasks = tasks or BackgroundTasks()
         self._is_fair = is_fair
         self._queue: FairQueue[Deferred[Checkout]] = FairQueue()
         self._completed_at = 0.0
@@ -224,7 +229,7 @@
         free = self.account.total - self.state.open
         for _ in range(min(needed, free)):
             self.state.opening += 1
-            Deferred.fromCoroutine(self._open())
+            self._tasks.start("target_connect", self._open())
         if needed > free:
             self._permits.ask(self.target.name)
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/transaction_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/transaction_service.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from twisted.internet.task import LoopingCall
 
 from guavabarrow_core.exceptions import (
     OutcomeUnknown,
@@ -105,8 +104,9 @@
         self._groups = kernel.find(GroupService)
         self._keys = kernel.find(KeyService)
         self._by_id: dict[str, OpenTransaction] = {}
-        self._loop = LoopingCall(self._abort_stale)
-        self._loop.clock = reactor
+        self._loop = kernel.tasks.create_periodic(
+            "stale_transaction_check", self._abort_stale, reactor
+        )
 
     def __len__(self) -> int:
         return len(self._by_id)
--- a/packages/guavabarrow-daemon/tests/test_background.py
+++ b/packages/guavabarrow-daemon/tests/test_background.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import ast
+from collections import Counter
 from itertools import pairwise
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
@@ -147,3 +150,34 @@
     kernel.register(FailingService(kernel))
     Deferred.fromCoroutine(kernel.stop())
     assert stopped == ["first"]
+
+
+HANDLED_STARTS = {
+    "front/session_front.py": 1,
+    "fleet/promotion_service.py": 1,
+    "http/site.py": 1,
+    "main.py": 1,
+    "session_vm.py": 1,
+    "targets/target_admin_client.py": 1,
+    "configuration_service.py": 1,
+    "membership_service.py": 1,
+    "usage/reporting_service.py": 1,
+}
+"""Coroutines with an error handler of their own, or whose result a periodic call or a
+caller awaits."""
+
+
+def test_background_work_is_started_by_the_tasks_of_the_kernel():
+    """A coroutine or loop that is started otherwise can end without being noticed."""
+    root = Path(background.__file__).parent
+    starts: Counter[str] = Counter()
+    for path in root.rglob("*.py"):
+        if path.name == "background.py":
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and (
+                ast.unparse(node.func)
+                in ("Deferred.fromCoroutine", "ensureDeferred", "LoopingCall")
+            ):
+                starts[path.relative_to(root).as_posix()] += 1
+    assert starts == HANDLED_STARTS
