Build the histogram library in isolation where it has no wheel

make demo and make test failed in a new clone on arm64: hdrhistogram has no wheel there, and --no-build-isolation, which the editable packages are installed with, can't build it because the environment has no setuptools.

Change: it is installed before them, built in isolation where need be. Weighed: another histogram library with wheels for both kinds would change the figures of the load tests and their files; dropping --no-build-isolation fetches the build backend for each of the four packages. On x86-64 its wheel is used as before.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,9 @@
 
 $(STAMP): constraints.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet --constraint constraints.txt poetry-core
+	# Built in isolation where there is no wheel for the machine, as on arm64.
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt \
+		hdrhistogram poetry-core
 	$(BIN)/python -m pip install --quiet --constraint constraints.txt --no-build-isolation \
 		--editable packages/guavabarrow-core \
 		--editable packages/guavabarrow-daemon \
