Ask replicas less often while one with all commits is awaited

Each status query opens a connection and takes a slot: a planned switchover asked five times a second until a replica had caught up, and every replacement asked less often after 2 s.

Change: a switchover asks about every 0.6 s, and only services with synchronous replicas are asked less often during a replacement; the others every 30 ms as before the fix.

Measured: test_sync_replicas.py and test_promotion.py pass.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -53,7 +53,8 @@
 RETRY_DELAY_S = 0.1
 FAST_COMPARISON_S = 2.0
 SLOW_STATUS_INTERVAL_S = 0.25
-"""Interval between status queries after ``FAST_COMPARISON_S``, as each takes a slot."""
+"""Interval between status queries if a replica with all acknowledged commits is awaited
+for longer than ``FAST_COMPARISON_S``, as each query takes a slot."""
 
 SILENT_PRIMARY_WAIT_S = 3.0
 """Time for which the first primary of a service is not settled while another target
@@ -65,6 +66,9 @@
 LISTING_LAG_S = 3.0
 """Time by which the list of targets may lag behind a promotion."""
 
+CATCH_UP_RETRY_S = 0.4
+"""Pause before the replicas are asked again; each query opens a connection."""
+
 CATCH_UP_CHECK_S = 0.1
 """Time within which a replica that receives the log gets what was at the primary."""
 
@@ -320,6 +324,7 @@
                     await deferLater(self._reactor, CATCH_UP_CHECK_S, lambda: None)
                     received = await self._admin_client.statuses(replicas)
                     if all(s.received < status.received for s in received.values()):
+                        await deferLater(self._reactor, CATCH_UP_RETRY_S, lambda: None)
                         return
             finally:
                 self._preparing.discard(service)
@@ -487,10 +492,11 @@
         if promotion.stage is PromotionStage.REVERTING:
             self._retry_at_by_service[promotion.service] = now_s() + SWITCHOVER_RETRY_S
         if any(isinstance(action, ReadStatuses) for action in actions):
+            is_long = asked_at - promotion.compared_at > FAST_COMPARISON_S
             interval_s = (
-                STATUS_INTERVAL_S
-                if asked_at - promotion.compared_at < FAST_COMPARISON_S
-                else SLOW_STATUS_INTERVAL_S
+                SLOW_STATUS_INTERVAL_S
+                if promotion.sync_replicas > 0 and is_long
+                else STATUS_INTERVAL_S
             )
             pause_s = max(0.0, interval_s - (now_s() - asked_at))
             await deferLater(self._reactor, pause_s, lambda: None)
