Close idle sessions in groups, and promise that a BEGIN has no effect

Idle sessions were closed one by one with a timer each: with 2,000 sessions 1.6 s of timers take longer than that, and all later steps start late. And a BEGIN that waits for admission at the very end was answered as in doubt, though it has no effect.

The tests of statements that outlast the grace period cover prepared ones.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -193,7 +193,9 @@
         writes = statement.writes
         if statement.kind is StatementKind.EXECUTE and shape is not None:
             writes = shape.writes
-        is_single = self.state is TransactionState.IDLE
+        is_single = (
+            self.state is TransactionState.IDLE and not statement.opens_transaction
+        )
         may_take_effect = statement.kind is StatementKind.COMMIT or (
             is_single and writes
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from math import ceil
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import Deferred
@@ -310,10 +311,10 @@
         """Close all sessions without losing the answer to a statement.
 
         New sessions are accepted until the load balancer has stopped sending them. Then
-        idle sessions are closed one by one, others as soon as an answer leaves them
-        idle. Open transactions run statements as long as these can be expected to end
-        in time; from ``finish_by`` on, idle ones are rolled back and running statements
-        are awaited, until ``answer_by`` at most.
+        idle sessions are closed in small groups, others as soon as an answer leaves
+        them idle. Open transactions run statements as long as these can be expected to
+        end in time; from ``finish_by`` on, idle ones are rolled back and running
+        statements are awaited, until ``answer_by`` at most.
         """
         self.is_draining = True
         schedule = self.admission.drain or DrainSchedule(
@@ -323,11 +324,12 @@
         log_decision("drain_begun", sessions=len(self._connections))
         await self._wait_until(schedule.close_idle_from)
         self._closing_from = now_s()
-        idle = [c for c in self._connections if c.is_idle]
-        step_s = schedule.close_spread_s / max(1, len(idle))
-        for connection in idle:
-            connection.close_idle()
-            await deferLater(self._reactor, step_s, lambda: None)
+        idle = deque(c for c in self._connections if c.is_idle)
+        step = ceil(len(idle) * DRAIN_POLL_S / schedule.close_spread_s)
+        while idle:
+            for _ in range(min(step, len(idle))):
+                idle.popleft().close_idle()
+            await deferLater(self._reactor, DRAIN_POLL_S, lambda: None)
         while self._connections and now_s() < schedule.finish_by:
             for connection in list(self._connections):
                 connection.close_idle()
--- a/tests/platform_adapter/test_drain.py
+++ b/tests/platform_adapter/test_drain.py
@@ -115,6 +115,8 @@
         ("BEGIN", "WRITE slow one", True),
         ("BEGIN", "COMMIT", False),
         ("BEGIN READ", "READ slow", True),
+        ("PREPARE s1 WRITE q1", "EXECUTE s1 slow one", False),
+        ("PREPARE s1 READ q1", "EXECUTE s1 slow", True),
     ],
 )
 def test_statements_that_outlast_the_grace_period_are_answered_truthfully(
