Answer requests that arrive near the end of a drain, over HTTP too

Change: the timeout of a request is limited to 0.2 s before the end of the drain, so its caller is told transaction_lost or outcome_unknown; after that it is refused as not run. Open: a request sent before the drain with a deadline beyond its end is still cut.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/caller_api.py
@@ -266,7 +266,7 @@
         limits = self._settings.limits
         text = request.getHeader("deadline-ms")
         if text is None:
-            return limits.default_deadline_ms / 1000
+            return self._drain.limit_timeout_s(limits.default_deadline_ms / 1000)
         try:
             deadline_ms = float(text)
         except ValueError:
@@ -275,7 +275,8 @@
             raise DeadlineExceeded(
                 "Deadline-Ms must be positive and finite; the request was not run."
             )
-        return min(deadline_ms, limits.max_deadline_ms) / 1000
+        timeout_s = min(deadline_ms, limits.max_deadline_ms) / 1000
+        return self._drain.limit_timeout_s(timeout_s)
 
     def _read_statement(
         self, request: Request, context: CallerContext
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/drain_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/drain_service.py
@@ -20,6 +20,9 @@
     from guavabarrow_core.fleet import Fleet
     from guavabarrow_daemon.settings import Settings
 
+ANSWER_MARGIN_S = 0.2
+"""Time before the end of a drain at which the last requests are answered."""
+
 POLL_INTERVAL_S = 0.05
 RETRY_AFTER_S = 1.0
 
@@ -59,6 +62,7 @@
         self._metrics = kernel.find(Metrics)
         self._in_progress = 0
         self._is_draining = False
+        self._answer_by = float("inf")
         self.readiness = Readiness.STARTING
 
     async def start(self) -> None:
@@ -92,6 +96,21 @@
                 retry_after_s=0.0,
             )
 
+    def limit_timeout_s(self, timeout_s: float) -> float:
+        """Return the timeout of a request, so that it is answered before a drain ends.
+
+        Raises
+        ------
+        Draining
+            If this VM stops too soon for any request.
+        """
+        remaining_s = self._answer_by - self._reactor.seconds()
+        if remaining_s <= 0:
+            raise Draining(
+                "This VM is stopping; not run. Connect again.", retry_after_s=0.0
+            )
+        return min(timeout_s, remaining_s)
+
     def begin_request(self) -> None:
         """Increment the number of requests in progress."""
         self._in_progress += 1
@@ -112,10 +131,11 @@
         if self._is_draining:
             return
         self._is_draining = True
+        drain = self._settings.drain
+        wait_until = self._reactor.seconds() + (drain.notice_ms + drain.limit_ms) / 1000
+        self._answer_by = wait_until - ANSWER_MARGIN_S
         self._membership.announce(leaving=True)
         await self._wait_notice_period()
-        limit_s = self._settings.drain.limit_ms / 1000
-        wait_until = self._reactor.seconds() + limit_s
         while self._in_progress or len(self._transactions):
             if self._reactor.seconds() >= wait_until:
                 log_state(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -585,3 +585,27 @@
         assert recorded["max_sessions"] <= 6
     assert workload.failures == []
     assert workload.history.check(world.rows()) == []
+
+
+@pytest.mark.parametrize("ends_with_commit", [False, True])
+def test_a_statement_near_the_end_of_a_drain_is_answered(world, ends_with_commit):
+    """Open transactions ran on until the drain was cut short, and the last one with it.
+
+    The caller saw a broken connection.
+    """
+    world.start(drain={"notice_ms": 300, "limit_ms": 1500})
+    caller = world.caller()
+    transaction = caller.begin()
+    assert caller.execute(transaction, "INSERT INTO entry VALUES ('late')").ok
+    for database in world.fleet.databases:
+        world.fleet.set_database_faults(database, answer_delay_ms=5000.0)
+    stop = threading.Thread(target=world.fleet.terminate, args=("vm-1",))
+    stop.start()
+    time.sleep(0.8)
+    if ends_with_commit:
+        response = caller.commit(transaction)
+    else:
+        response = caller.execute(transaction, "INSERT INTO entry VALUES ('later')")
+    stop.join()
+    assert response.status != 0, response
+    assert not response.ok
