Keep failure detection as it was after a replacement is taken back

Only planned switchovers of services with synchronous replicas pause now, and only these are reverted without a complete replica.

Also, an old primary that started again without its log does not show what was acknowledged: its end of the log counts only if no replica is further.

--- a/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
@@ -247,9 +247,10 @@
         return is_unchanged and not must_replace
 
     def _can_return_to(self, old: TargetStatus | None) -> bool:
-        """Return whether the old primary goes on, so that it can serve again."""
+        """Return whether a planned switchover can be given up for the old primary."""
         return (
-            old is not None
+            self.is_planned
+            and old is not None
             and old.is_primary
             and old.term == self.term
             and not self.refused_ids
@@ -281,14 +282,15 @@
             for target_id in self._replicas
             if target_id in self.status_by_id
         }
-        required_count = max(1, len(self._replicas) - self.sync_replicas + 1)
-        if not received_by_id or (
-            self.final_position is None and len(received_by_id) < required_count
-        ):
+        if not received_by_id:
             return None
         required = max(received_by_id.values())
-        if self.final_position is not None:
-            required = max(required, self.final_position)
+        required_count = max(1, len(self._replicas) - self.sync_replicas + 1)
+        if self.final_position is not None and self.final_position >= required:
+            required = self.final_position
+        elif len(received_by_id) < required_count:
+            # An old primary whose log ends earlier has started again without it.
+            return None
         complete = [key for key, end in received_by_id.items() if end >= required]
         if now - self.refused_at > REFUSED_RETRY_S:
             self.refused_ids.difference_update(complete)
--- a/packages/guavabarrow-core/tests/test_promotion.py
+++ b/packages/guavabarrow-core/tests/test_promotion.py
@@ -197,3 +197,20 @@
     promotion.set_replicas(("new",), ())
     actions = promotion.on_statuses({"new": status_at(12)}, 0.2)
     assert actions[-1] == RequestPromotion("new")
+
+
+def test_an_old_primary_that_lost_its_log_does_not_show_what_was_acknowledged():
+    """It may start again under its id and hold nothing of before."""
+    promotion = start_durable(is_resumed=True)
+    statuses = {"p": status_at(0, PRIMARY), "r1": status_at(9)}
+    assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
+    statuses |= {"r2": status_at(9), "d1": status_at(12)}
+    assert promotion.on_statuses(statuses, 0.2)[-1] == RequestPromotion("d1")
+
+
+def test_only_a_planned_switchover_is_reverted_without_a_complete_replica():
+    promotion = start_durable(is_failed_by_vote=True)
+    statuses = {"p": status_at(12, PRIMARY), "r1": status_at(9), "r2": status_at(9)}
+    compare_replicas(promotion, statuses)
+    late = promotion.on_statuses(statuses, CATCH_UP_TIMEOUT_S + 0.1)
+    assert isinstance(late[0], ReadStatuses)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -168,18 +168,16 @@
                 reason="gone",
                 is_resumed=True,
             )
-        elif now < self._retry_at_by_service.get(service, float("-inf")):
-            return
         elif self._primary_watch.is_failed(primary_row.primary_id, now):
             reason = self._primary_watch.describe(primary_row.primary_id, now)
             self._start_promotion(primary_row, is_planned=False, reason=reason)
         elif not self._directory.is_usable(primary_row.primary_id):
-            if sync_replicas:
-                self._prepare_switchover(primary_row, entry)
-            else:
+            if not sync_replicas:
                 self._start_promotion(
                     primary_row, is_planned=True, reason=SWITCHOVER_REASON
                 )
+            elif now >= self._retry_at_by_service.get(service, float("-inf")):
+                self._prepare_switchover(primary_row, entry)
         elif self._is_other_primary_listed(entry, replicas, now):
             self._start_promotion(
                 primary_row,
@@ -489,7 +487,7 @@
             chosen=promotion.chosen_id,
             unanswered=[key for key in target_ids if key not in statuses],
         )
-        if promotion.stage is PromotionStage.REVERTING:
+        if promotion.is_planned and promotion.stage is PromotionStage.REVERTING:
             self._retry_at_by_service[promotion.service] = now_s() + SWITCHOVER_RETRY_S
         if any(isinstance(action, ReadStatuses) for action in actions):
             is_long = asked_at - promotion.compared_at > FAST_COMPARISON_S
