Report a VM as not ready while one of its loops fails

It counts as failing after three failures in a row, until it has run for 10 s; the balancer is told that the VM is not ready meanwhile.

Measured: its test passes; nothing changes for a VM whose loops run.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/background.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/background.py
@@ -27,6 +27,9 @@
 STABLE_AFTER_S = 10.0
 """Time after which a loop counts as recovered, so that its pause is the shortest."""
 
+FAILING_AFTER = 3
+"""Failures in a row after which a loop counts as failing."""
+
 LOG_INTERVAL_S = 5.0
 """Interval between log lines on the failures of one task."""
 
@@ -47,6 +50,18 @@
         self.log: Callable[..., None] = log_decision
         self._logged_at_by_task: dict[str, float] = {}
         self._unlogged_by_task: dict[str, int] = {}
+        self._failures_by_loop: dict[str, int] = {}
+        self._failed_at_by_loop: dict[str, float] = {}
+
+    def failing_loops(self) -> list[str]:
+        """Return the loops that fail each time they are restarted."""
+        now = now_s()
+        return [
+            name
+            for name, count in self._failures_by_loop.items()
+            if count >= FAILING_AFTER
+            and now - self._failed_at_by_loop[name] < STABLE_AFTER_S
+        ]
 
     def start(self, name: str, coroutine: Coroutine[Any, Any, Any]) -> Deferred[Any]:
         """Run a coroutine.
@@ -76,7 +91,7 @@
         """Run a coroutine that ends only when its owner stops.
 
         It is restarted whenever it fails, after a pause that grows from
-        ``MIN_RESTART_PAUSE_S`` to ``MAX_RESTART_PAUSE_S``.
+        ``MIN_RESTART_PAUSE_S`` to ``MAX_RESTART_PAUSE_S``; see :meth:`failing_loops`.
 
         Parameters
         ----------
@@ -136,6 +151,9 @@
                 self._record_failure(Failure(), name)
             if now_s() - started_at > STABLE_AFTER_S:
                 pause_s = MIN_RESTART_PAUSE_S
+                self._failures_by_loop[name] = 0
+            self._failures_by_loop[name] = self._failures_by_loop.get(name, 0) + 1
+            self._failed_at_by_loop[name] = now_s()
             await deferLater(reactor, pause_s, lambda: None)
             pause_s = min(MAX_RESTART_PAUSE_S, 2.0 * pause_s)
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
@@ -283,8 +283,15 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the load balancer should send new callers to this VM."""
-        return not self.is_draining and self._fleet.configuration is not None
+        """Whether the load balancer should send new callers to this VM.
+
+        Not while one of its loops fails: what the VM knows then grows old.
+        """
+        return (
+            not self.is_draining
+            and self._fleet.configuration is not None
+            and not self.kernel.tasks.failing_loops()
+        )
 
     @property
     def open_work(self) -> int:
--- a/packages/guavabarrow-daemon/tests/test_background.py
+++ b/packages/guavabarrow-daemon/tests/test_background.py
@@ -75,6 +75,24 @@
     assert pauses == pytest.approx([MIN_RESTART_PAUSE_S] * len(pauses), abs=0.11)
 
 
+def test_a_loop_that_fails_each_time_is_known_until_it_runs_again(world):
+    """Its VM reports that it is not ready, instead of serving from old knowledge."""
+    is_broken = True
+
+    async def run() -> None:
+        if is_broken:
+            raise ValueError
+        await deferLater(world.clock, 1000.0, lambda: None)
+
+    world.tasks.start_loop("poll", run, world.clock)
+    assert world.tasks.failing_loops() == []
+    advance(world.clock, 3.0)
+    assert world.tasks.failing_loops() == ["poll"]
+    is_broken = False
+    advance(world.clock, MAX_RESTART_PAUSE_S + STABLE_AFTER_S)
+    assert world.tasks.failing_loops() == []
+
+
 def test_a_loop_that_returns_is_not_restarted(world):
     starts = []
 
