Cut links one way while a promotion, a rollout and a planned stop overlap

Links between VMs, to targets and to the store are cut one way or both, a few or a fifth of them, while the primary crashes, a configuration is written and a VM stops and starts; with and without synchronous replicas.

--- a/packages/guavabarrow-daemon/tests/test_fleet_faults.py
+++ b/packages/guavabarrow-daemon/tests/test_fleet_faults.py
@@ -17,6 +17,7 @@
     publish_configuration,
 )
 from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
 
 from guavabarrow_core import fleet_state
 from guavabarrow_core.fleet_state import FleetState
@@ -556,3 +557,48 @@
     fleet.run_until(fleet.is_serving, PARTITION_FAILOVER_S)
     assert holder not in [vm for vm, _ in fleet.group.promotion_calls]
     fleet.assert_invariants()
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("sync_replicas", [0, 1])
+def test_links_cut_one_way_while_a_promotion_a_rollout_and_a_stop_overlap(
+    monkeypatch, seed, sync_replicas
+):
+    """Links between VMs, to targets and to the store are cut one way, both, or some."""
+    fleet = SimFleet(monkeypatch)
+    fleet.operator_store.sync_replicas = sync_replicas
+    publish_configuration(fleet.operator_store)
+    fleet.wait_until_serving()
+    commits = LoopingCall(fleet.group.commit)
+    commits.clock = fleet.network.reactor("callers")
+    commits.start(0.1)
+    rng = np.random.default_rng(seed)
+    hosts = [*fleet.vm_by_name, *(t.host for t in fleet.group.targets), "store"]
+    for _ in range(3):
+        cut = {
+            (str(source), str(destination))
+            for source in hosts
+            for destination in hosts
+            if rng.random() < rng.choice([0.05, 0.2])
+        }
+        is_both_ways = bool(rng.integers(2))
+        fleet.network.is_blocked = (
+            lambda source, destination, cut=cut, both=is_both_ways: (
+                (source, destination) in cut or (both and (destination, source) in cut)
+            )
+        )
+        fleet.run(float(rng.uniform(0.1, 2.0)))
+        crashed = fleet.group.leader
+        fleet.group.crash(crashed)
+        version = publish_configuration(fleet.operator_store)
+        stopped = str(rng.choice(sorted(fleet.vm_by_name)))
+        fleet.stop(stopped)
+        fleet.run(float(rng.uniform(0.5, 6.0)))
+        fleet.start(stopped)
+        fleet.group.restart(crashed)
+        fleet.heal()
+        fleet.run_until(fleet.is_serving, RECOVERY_S)
+        fleet.run_until(lambda v=version: fleet.has_configuration(v), ROLLOUT_S)
+    if sync_replicas:
+        assert fleet.group.lost == []
+    fleet.assert_invariants()
