--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -328,4 +328,58 @@
         "if self._is_available(vm):",
         "test_service_host",
     ),
+    Mutation(
+        "promotion",
+        "required_count = max(1, len(self._replicas) - self.sync_replicas + 1)",
+        "required_count = 1",
+        "test_promotion",
+    ),
+    Mutation(
+        "promotion",
+        "return (*self.candidates, *self.other_replicas)",
+        "return self.candidates",
+        "test_promotion",
+    ),
+    Mutation(
+        "promotion",
+        "if self.final_position is not None and self.final_position >= required:",
+        "if self.final_position is not None:",
+        "test_promotion",
+    ),
+    Mutation(
+        "promotion",
+        "if now - self.refused_at > REFUSED_RETRY_S:",
+        "if False:",
+        "test_promotion",
+    ),
+    Mutation(
+        "promotion",
+        "max(promoted, key=lambda key: self.status_by_id[key].term, default=None)",
+        "(promoted[0] if promoted else None)",
+        "test_promotion",
+    ),
+    Mutation(
+        "promotion",
+        "            self.is_planned\n            and old is not None",
+        "            old is not None",
+        "test_promotion",
+    ),
+    Mutation(
+        "drain_schedule",
+        "return now <= max(owed_until, self.finish_by - objective_s)",
+        "return now <= self.finish_by",
+        "test_drain_schedule",
+    ),
+    Mutation(
+        "drain_schedule",
+        "return now <= max(owed_until, self.finish_by - objective_s)",
+        "return now <= self.finish_by - objective_s",
+        "test_drain_schedule",
+    ),
+    Mutation(
+        "drain_schedule",
+        "margin_s = min(ANSWER_MARGIN_S, ANSWER_FRACTION * self.grace_s)",
+        "margin_s = ANSWER_MARGIN_S",
+        "test_drain_schedule",
+    ),
 )
