--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -461,7 +461,7 @@
                 await deferLater(self._reactor, RETRY_DELAY_S, lambda: None)
                 continue
             self._record_store_access(True)
-            self._apply_orders(orders, reading.rows, reading.version)
+            self._apply_orders(orders, reading.rows, reading.version, source="store")
 
     async def _read_orders(self) -> tuple[OperatorOrders | None, TableReadResult]:
         if self._orders_version == 0:
@@ -469,7 +469,12 @@
         return await self._orders.watch(self._orders_version, ORDERS_WATCH_TIMEOUT_S)
 
     def _apply_orders(
-        self, orders: OperatorOrders | None, rows: list[TableRow], version: int
+        self,
+        orders: OperatorOrders | None,
+        rows: list[TableRow],
+        version: int,
+        *,
+        source: str,
     ) -> None:
         self._orders_version = max(self._orders_version, version)
         for row in rows:
@@ -477,7 +482,12 @@
         if orders is None:
             return
         if orders.evacuated != self.evacuated:
-            log_decision("evacuations_changed", domains=sorted(orders.evacuated))
+            log_decision(
+                "evacuations_changed",
+                domains=sorted(orders.evacuated),
+                source=source,
+                row_version=self.orders_row_version,
+            )
         self.evacuated = orders.evacuated
         configuration = orders.configuration
         active = self.configuration
@@ -488,6 +498,9 @@
                 "configuration_in_force",
                 version=configuration.version,
                 routes=len(configuration.route_by_database),
+                source=source,
+                row_version=self.orders_row_version,
+                replaced=active.version if active else 0,
             )
             metrics = self.kernel.find(SessionMetrics)
             metrics.configuration_version.set(configuration.version)
@@ -537,11 +550,12 @@
         changed = self.state.apply(decoded, version, as_of=as_of, now=now_s())
         self._notify_changed_rows(changed)
 
-    def apply_relayed_orders(self, shared: list[SharedRow]) -> None:
+    def apply_relayed_orders(self, shared: list[SharedRow], vm: str) -> None:
         """Apply the operators' table as cached by another VM."""
         rows = [TableRow(row.key, row.value, row.version) for row in shared]
         # The next watch of the store still starts at this VM's last own reading.
-        self._apply_orders(self._orders.decode(rows), rows, self._orders_version)
+        orders = self._orders.decode(rows)
+        self._apply_orders(orders, rows, self._orders_version, source=vm)
 
     def is_duty_holder(self) -> bool:
         """Return whether the shared table names this VM as the duty holder."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -285,7 +285,7 @@
         if answer.is_sponsor:
             self._accept_sponsorship(vm, answer, sent_at)
         if orders:
-            self._fleet.apply_relayed_orders(orders)
+            self._fleet.apply_relayed_orders(orders, vm)
         if answer.targets is not None:
             age_s = answer.directory_age_s + now_s() - sent_at
             self._directory.apply_relayed_listing(answer.targets, age_s)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
@@ -180,11 +180,13 @@
         try:
             admission.look_up(message.database, message.principal)
         except SessionError as error:
+            configuration = admission.configuration
             log_decision(
                 "session_refused",
                 database=message.database,
                 code=error.code.value,
                 detail=error.detail,
+                configuration=configuration.version if configuration else 0,
             )
             self._write_and_close([StatementFailed(error.code, error.detail)])
             return
