Simulate evacuations, lost history and buffered answers of the operators' table

The simulated operators' table had one row, so no test under virtual time met an evacuation, an unreadable configuration or a table that is read in full without its deleted rows. A watch ended with the newest rows when a suspended VM resumed; the store now answers it at the first change, and the VM reads that answer late.

The table can be silent or slow for watches alone, and reject single VMs. Links can be slow one way; VMs connect to a VM that starts at different times; what a suspended VM reads late is in any order.

--- a/packages/guavabarrow-daemon/tests/sim_fleet.py
+++ b/packages/guavabarrow-daemon/tests/sim_fleet.py
@@ -125,6 +125,16 @@
         configuration = self.kernel.find(FleetService).configuration
         return configuration.version if configuration is not None else 0
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Evacuated failure domains, as far as this VM knows."""
+        return self.kernel.find(FleetService).evacuated
+
+    @property
+    def new_operation_version(self) -> int:
+        """Configuration version by which an operation would begin now, 0 if none."""
+        return self.configuration_version
+
     @property
     def holds_duty(self) -> bool:
         """Whether this VM may order promotions now."""
--- a/packages/guavabarrow-daemon/tests/sim_network.py
+++ b/packages/guavabarrow-daemon/tests/sim_network.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.address import IPv4Address
@@ -40,6 +41,14 @@
         Whether a partition refuses and resets connections instead of dropping packets.
     bytes_per_s_by_host : dict of str to float
         Bandwidth of a host's link in each direction; unlimited if missing.
+    latency_s_by_link : dict of tuple to float
+        Additional latency, in s, from the first to the second of two hosts.
+    connect_delay_s : callable
+        Called with two hosts, returns the additional duration, in s, of an attempt of
+        the first to connect to the second.
+    read_delay_s : callable
+        Called with a sender and a suspended host, returns how late, in s, the host
+        reads what the sender sent meanwhile, compared to its own timers.
     """
 
     def __init__(self) -> None:
@@ -49,8 +58,11 @@
         self.reactor_by_host: dict[str, SimReactor] = {}
         self.suspended: set[str] = set()
         self.factory_by_address: dict[tuple[str, int], Any] = {}
-        self.transports: set[SimTransport] = set()
+        self.transports: dict[SimTransport, None] = {}
         self.bytes_per_s_by_host: dict[str, float] = {}
+        self.latency_s_by_link: dict[tuple[str, str], float] = {}
+        self.connect_delay_s: Callable[[str, str], float] = lambda host, peer: 0.0
+        self.read_delay_s: Callable[[str, str], float] = lambda sender, host: 0.0
         self._busy_until: dict[tuple[str, str], float] = {}
 
     def reactor(self, host: str) -> SimReactor:
@@ -77,6 +89,13 @@
                 self._busy_until[link] = done_at
         return done_at - self.now
 
+    def arrival_delay_s(self, sender: str, host: str) -> float:
+        """Return how long after its transfer a host reads a message, in s."""
+        delay_s = self.latency_s_by_link.get((sender, host), 0.0)
+        if host in self.suspended:
+            delay_s += self.read_delay_s(sender, host)
+        return delay_s
+
     def kill(self, host: str) -> None:
         """End a host's process: its connections are reset and its ports closed."""
         self.reactor_by_host.pop(host, None)
@@ -166,7 +185,9 @@
 
     def connect(self) -> None:
         """Make the first attempt after one network latency."""
-        self._reactor.callLater(LATENCY_S, self._try)
+        host = self._address[0]
+        delay_s = self._reactor.network.connect_delay_s(self._reactor.host, host)
+        self._reactor.callLater(LATENCY_S + delay_s, self._try)
 
     def _try(self) -> None:
         if self._is_done or self._reactor.has_ended:
@@ -215,11 +236,12 @@
         self._protocol: Any = None
         self._blocked_since: float | None = None
         self._outgoing: list[bytes] = []
+        self._incoming: deque[bytes] = deque()
 
     def attach(self, protocol: Any) -> None:
         """Connect the transport to its protocol."""
         self._protocol = protocol
-        self._reactor.network.transports.add(self)
+        self._reactor.network.transports[self] = None
         protocol.makeConnection(self)
 
     def write(self, data: bytes) -> None:
@@ -294,9 +316,13 @@
         data, self._outgoing = b"".join(self._outgoing), []
         # A suspended peer receives it when it resumes.
         delay_s = network.transfer_s(self.host, self.peer_host, len(data))
-        self.peer._reactor.callLater(delay_s, self.peer._receive, data)
+        delay_s += network.arrival_delay_s(self.host, self.peer_host)
+        self.peer._incoming.append(data)
+        self.peer._reactor.callLater(delay_s, self.peer._receive)
 
-    def _receive(self, data: bytes) -> None:
+    def _receive(self) -> None:
+        # Bytes of one connection stay in order if the latency decreases.
+        data = self._incoming.popleft()
         if self.is_open and not self._reactor.has_ended:
             self._protocol.dataReceived(data)
 
@@ -304,6 +330,6 @@
         if not self.is_open:
             return
         self.is_open = False
-        self._reactor.network.transports.discard(self)
+        self._reactor.network.transports.pop(self, None)
         if notify and self._protocol is not None and not self._reactor.has_ended:
             self._protocol.connectionLost(Failure(error))
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+import numpy as np
 from twisted.internet.task import deferLater
 
 from guavabarrow_core.log_position import LogPosition
@@ -41,6 +42,9 @@
 ENTRY_TTL_S = 2.0
 SERVICE = "orders"
 CONFIGURATION_KEY = "configuration"
+EVACUATION_PREFIX = "evacuate/"
+UNREADABLE = b"\xff"
+"""First byte of a configuration that can't be decoded."""
 
 
 class SimStore:
@@ -58,6 +62,12 @@
         Additional duration of each call.
     compacted_version : int
         Changes up to this version are dropped from the history.
+    refused_from : set of str
+        Hosts whose calls are rejected immediately.
+    silent_watches_from : set of str
+        Hosts whose watches are not answered, while other calls are.
+    watch_delay_s_by_host : dict of str to float
+        Delay of the answers to a host's watches, in s.
     team_by_key : dict of str to str
         Teams of the configurations in this table.
     sync_replicas : int
@@ -73,6 +83,9 @@
         self.drops_write_replies = False
         self.extra_latency_s = 0.0
         self.compacted_version = 0
+        self.refused_from: set[str] = set()
+        self.silent_watches_from: set[str] = set()
+        self.watch_delay_s_by_host: dict[str, float] = {}
         self.team_by_key: dict[str, str] = {}
         self.sync_replicas = 0
 
@@ -95,6 +108,13 @@
         self.row_by_key[key] = TableRow(key, value, self.version)
         return TableWriteResult(True, self.version, self.network.now)
 
+    def drop_history(self) -> None:
+        """Forget all changes so far, and which rows were deleted."""
+        self.compacted_version = self.version
+        for key, row in list(self.row_by_key.items()):
+            if row.value is None:
+                del self.row_by_key[key]
+
     def read_after(self, after: int, *, with_deleted: bool) -> TableReadResult:
         """Return the rows that changed after a version."""
         rows = [
@@ -118,16 +138,22 @@
         return await self._receive_answer(self._store.read_after(0, with_deleted=False))
 
     async def watch(self, after: int, wait_s: float) -> TableReadResult:
-        """Wait for changes."""
+        """Wait for changes; the store answers also while the VM is suspended."""
+        host = self._reactor.host
+        store = self._store
         await self._send_request()
-        if after < self._store.compacted_version:
+        if after < store.compacted_version:
             raise HistoryDropped
-        until = self._reactor.seconds() + wait_s
-        while self._store.version <= after and self._reactor.seconds() < until:
-            await self._pause(POLL_INTERVAL_S)
-        return await self._receive_answer(
-            self._store.read_after(after, with_deleted=True)
-        )
+        clock = store.network.reactor_by_host[STORE_HOST]
+        until = clock.seconds() + wait_s
+        while store.version <= after and clock.seconds() < until:
+            await deferLater(clock, POLL_INTERVAL_S, lambda: None)
+        if host in store.silent_watches_from:
+            await self._pause(until + CALL_TIMEOUT_S - clock.seconds())
+            raise StoreUnavailable("no answer", is_not_applied=False)
+        reading = store.read_after(after, with_deleted=True)
+        delay_s = store.watch_delay_s_by_host.get(host, 0.0)
+        return await self._receive_answer(reading, delay_s)
 
     async def write(
         self, key: str, value: bytes | None, expected: int
@@ -151,14 +177,20 @@
             await self._pause(CALL_TIMEOUT_S)
             raise StoreUnavailable("no answer", is_not_applied=True)
         await self._pause(CALL_LATENCY_S / 2 + self._store.extra_latency_s)
+        if self._reactor.host in self._store.refused_from:
+            raise StoreUnavailable("rejected", is_not_applied=True)
 
-    async def _receive_answer(self, answer: Any) -> Any:
+    async def _receive_answer(self, answer: Any, delay_s: float = 0.0) -> Any:
         rows = answer.rows if isinstance(answer, TableReadResult) else []
         size = 200 + sum(len(row.value or b"") for row in rows) * BASE64_GROWTH
         host = self._reactor.host
-        transfer_s = self._store.network.transfer_s(STORE_HOST, host, int(size))
-        await self._pause(CALL_LATENCY_S / 2 + transfer_s)
-        if not self._store.is_reachable_from(self._reactor.host):
+        network = self._store.network
+        transfer_s = network.transfer_s(STORE_HOST, host, int(size))
+        delay_s += CALL_LATENCY_S / 2 + transfer_s
+        delay_s += network.arrival_delay_s(STORE_HOST, host)
+        was_suspended = host in network.suspended
+        await self._pause(delay_s)
+        if not was_suspended and not self._store.is_reachable_from(host):
             raise StoreUnavailable("no answer", is_not_applied=False)
         return answer
 
@@ -167,16 +199,19 @@
 
 
 class SimOrders(OperatorSource):
-    """The operators' table: one row with a configuration of a given size."""
+    """The operators' table: a configuration of a given size, and evacuations."""
 
     def __init__(self, store: SimStore, reactor: SimReactor) -> None:
         self._store = store
         self._table = SimTable(store, reactor)
+        self._evacuated: set[str] = set()
 
-    async def read(self) -> tuple[OperatorOrders | None, TableReadResult]:
+    async def read(self) -> tuple[OperatorOrders, TableReadResult]:
         """Read the whole table."""
         reading = await self._table.read()
-        return self.decode(reading.rows), reading
+        self._evacuated.clear()
+        orders = self.decode(reading.rows)
+        return orders or OperatorOrders(None, frozenset()), reading
 
     async def watch(
         self, after: int, wait_s: float
@@ -186,26 +221,56 @@
         return self.decode(reading.rows), reading
 
     def decode(self, rows: list[TableRow]) -> OperatorOrders | None:
-        """Decode the row; its version is the version of the configuration."""
-        versions = [row.version for row in rows if row.key == CONFIGURATION_KEY]
-        if not versions:
+        """Decode rows; the version of a configuration is the version of its row."""
+        if not rows:
             return None
+        configuration = None
+        for row in rows:
+            if row.key.startswith(EVACUATION_PREFIX):
+                domain = row.key.removeprefix(EVACUATION_PREFIX)
+                if row.value is None:
+                    self._evacuated.discard(domain)
+                else:
+                    self._evacuated.add(domain)
+            elif row.value is not None and row.value[:1] != UNREADABLE:
+                configuration = self._decode_configuration(row.version)
+        return OperatorOrders(configuration, frozenset(self._evacuated))
+
+    def _decode_configuration(self, version: int) -> SessionConfiguration:
         limits = {SERVICE: ServiceLimits(sync_replicas=self._store.sync_replicas)}
-        configuration = SessionConfiguration(
-            max(versions),
+        return SessionConfiguration(
+            version,
             limits_by_service=limits,
             team_by_key=self._store.team_by_key,
         )
-        return OperatorOrders(configuration, frozenset())
 
 
 def publish_configuration(store: SimStore, size: int = 100) -> int:
     """Write the next configuration and return its version."""
-    row = store.row_by_key.get(CONFIGURATION_KEY)
-    expected = row.version if row is not None else 0
     lines = (f"route-{number} to service-{number % 7}" for number in range(size // 20))
-    value = "\n".join(lines).encode()
-    return store.apply(CONFIGURATION_KEY, value, expected).version
+    return _replace_row(store, CONFIGURATION_KEY, "\n".join(lines).encode())
+
+
+def publish_unreadable_configuration(store: SimStore, size: int = 100) -> int:
+    """Write a configuration that no VM can decode and return its row's version."""
+    content = np.random.default_rng(0).bytes(size)
+    return _replace_row(store, CONFIGURATION_KEY, UNREADABLE + content)
+
+
+def evacuate(store: SimStore, domain: str) -> int:
+    """Evacuate a failure domain and return the version of its row."""
+    return _replace_row(store, EVACUATION_PREFIX + domain, b"{}")
+
+
+def lift_evacuation(store: SimStore, domain: str) -> int:
+    """Lift an evacuation and return the version of its deletion."""
+    return _replace_row(store, EVACUATION_PREFIX + domain, None)
+
+
+def _replace_row(store: SimStore, key: str, value: bytes | None) -> int:
+    row = store.row_by_key.get(key)
+    expected = row.version if row is not None and row.value is not None else 0
+    return store.apply(key, value, expected).version
 
 
 @dataclass
