Keep the operators' rows by version, and know how current they are

Cause: a VM relied on its observer's copy of the operators' table by the age of the shared table, though each is read on a connection of its own; an answer of a peer replaced cached rows without a comparison of versions, and evacuations with them; rows that were deleted before a full read stayed in the relayed rows; an unreadable configuration replaced the last readable one there; a heartbeat within 0.3 s after an answer was ignored, so that a configuration waited for the next one.

Change: OperatorRows (core) keeps the newest version of each row, the store version up to which the copy is complete, and the moment of it. An older copy is ignored. Relayed answers carry that version, its store time and the live keys; heartbeats carry the age of the copy, which decides whether a VM may rely on another one. A row that can't be decoded is counted, logged and never kept. A request that would follow an answer too soon is delayed, not dropped. The watch of the operators' table returns after 1.2 s (2.5 s before), so that its answer shows in time that nothing changed. New fields of messages are optional; a copy without them is merged row by row.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -87,6 +87,8 @@
     rows_version, orders_version : int
         Newest row versions in the sender's copies of the shared and the operators'
         table.
+    orders_age_s : float
+        Age of the sender's copy of the operators' table, in s.
     directory_age_s : float
         Age of the sender's list of targets, in s.
     directory_change : int
@@ -128,6 +130,7 @@
     store_age_s: float = UNKNOWN_AGE_S
     rows_version: int = 0
     orders_version: int = 0
+    orders_age_s: float = UNKNOWN_AGE_S
     directory_age_s: float = UNKNOWN_AGE_S
     directory_change: int = 0
     holder_hops: int = 0
@@ -209,7 +212,7 @@
     number : int
         Identifies the request in the answer.
     rows_version, orders_version : int
-        Newest row versions in the sender's copies of the tables.
+        Newest row versions that the sender received of the tables.
     directory_change : int
         Digest of the sender's list of targets.
     wants_sponsor : bool
@@ -244,6 +247,12 @@
         Version of the newest row of the operators' table.
     orders : list of SharedRow
         Rows that are newer than the version in the request.
+    orders_read_version : int
+        Version of the store up to which the operators' table is complete, 0 if unknown.
+    orders_store_s : float
+        Store time of that version, in s.
+    order_keys : list of str
+        Keys of all of its rows.
     directory_age_s : float
         Age of the list of targets, in s.
     directory_change : int
@@ -262,6 +271,9 @@
     rows: list[SharedRow]
     orders_version: int
     orders: list[SharedRow]
+    orders_read_version: int = 0
+    orders_store_s: float = 0.0
+    order_keys: list[str] = []
     directory_age_s: float = UNKNOWN_AGE_S
     directory_change: int = 0
     targets: list[TargetEntry] | None = None
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -26,6 +26,7 @@
     PeerHeartbeat,
     SharedRow,
 )
+from guavabarrow_daemon.fleet.operator_orders import OperatorOrders
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.fleet.row_codec import decode_row, encode_row
 from guavabarrow_daemon.kernel import Kernel, Service
@@ -33,11 +34,6 @@
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 from guavabarrow_daemon.store.exceptions import HistoryDropped, StoreUnavailable
-from guavabarrow_daemon.store.watched_table import (
-    OperatorOrders,
-    TableReadResult,
-    TableRow,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -48,19 +44,17 @@
     from guavabarrow_daemon.session_settings import SessionVmSettings
     from guavabarrow_daemon.store.watched_table import (
         OperatorSource,
+        TableReadResult,
         TableWriteResult,
         WatchedTable,
     )
 
 WATCH_TIMEOUT_S = 1.2
-"""Long-poll timeout for the shared table."""
+"""Long-poll timeout for a table; its answer shows that there was no change."""
 
 HOLDER_WATCH_TIMEOUT_S = 0.5
 """Long-poll timeout at the duty holder, whose lease is short."""
 
-ORDERS_WATCH_TIMEOUT_S = 2.5
-"""Long-poll timeout for the operators' table."""
-
 OUTAGE_TABLE_AGE_S = 2.0
 """Age of the shared table above which an outage of the store is assumed."""
 
@@ -83,7 +77,7 @@
 of connections open at once, and a heartbeat for each would saturate a slow one."""
 
 MAX_RELAYED_AGE_S = 2.6
-"""Age of the shared table up to which a VM relies on its observer's copy."""
+"""Age of a table up to which a VM relies on its observer's copy."""
 
 RELAY_CHECK_INTERVAL_S = 0.3
 MAX_OBSERVER_AGE_S = 0.1
@@ -119,18 +113,16 @@
     ----------
     state : FleetState
         The shared table and the leases derived from it.
-    configuration : SessionConfiguration or None
-        Active configuration, None until one has been read.
-    evacuated : frozenset of str
-        Failure domains whose targets get no work.
+    orders : OperatorOrders
+        Configuration and evacuations.
     store_lost_at : float or None
         Local time, in s, since which no request to the store has succeeded.
     store_failed_at, stale_at : float
         Local times of the last failed store request, and of the last heartbeat at which
         the shared table was older than ``OUTAGE_TABLE_AGE_S``.
-    on_rows, on_orders, on_heartbeat, on_departure : list of callable
-        Called with changed rows; after orders were applied; with each heartbeat that
-        was received; with the name of a VM that has stopped as planned.
+    on_rows, on_heartbeat, on_departure : list of callable
+        Called with changed rows; with each heartbeat that was received; with the name
+        of a VM that has stopped as planned.
     heartbeat_fillers : list of callable
         Called with the draft of each heartbeat to add fields.
     hubs_by_domain : dict of str to tuple of str
@@ -164,10 +156,8 @@
         self.hubs_by_domain: dict[str, tuple[str, ...]] = {}
         self.sponsoring_until = now_s() + SPONSORSHIP_S
         self.clock = StoreClock()
-        self.configuration: SessionConfiguration | None = None
-        self.evacuated: frozenset[str] = frozenset()
+        self.orders = OperatorOrders(orders, self.clock)
         self.on_rows: list[Callable[[list[VersionedRow]], None]] = []
-        self.on_orders: list[Callable[[], None]] = []
         self.on_heartbeat: list[Callable[[str, PeerHeartbeat], None]] = []
         self.on_departure: list[Callable[[str], None]] = []
         self.heartbeat_fillers: list[Callable[[HeartbeatDraft], None]] = []
@@ -181,10 +171,7 @@
         )
         self._settings = settings
         self._table = table
-        self._orders = orders
         self._reactor = reactor
-        self._orders_version = 0
-        self.order_row_by_key: dict[str, SharedRow] = {}
         self.heard_store_s = 0.0
         self._links = kernel.find(PeerLinks)
         self._heartbeat_by_vm: dict[str, tuple[float, PeerHeartbeat]] = {}
@@ -202,6 +189,7 @@
         """Start watching both tables and sending heartbeats."""
         self._links.on_peer_message.append(self._on_message)
         self._links.on_peer_up.append(self._on_peer_up)
+        self.orders.on_changed.append(self._on_orders_changed)
         tasks = self.kernel.tasks
         tasks.start_loop("table_watch", self._watch_table, self._reactor)
         tasks.start_loop("orders_watch", self._watch_orders, self._reactor)
@@ -302,8 +290,8 @@
                 if not self.state.is_registered():
                     await deferLater(self._reactor, RETRY_DELAY_S, lambda: None)
                 continue
-            if self._uses_relay():
-                await self._pause_for_relay()
+            if self._uses_relayed_table():
+                await self._pause_for_relay(self.table_age_s())
                 continue
             sent_at = now_s()
             try:
@@ -447,71 +435,42 @@
 
     async def _watch_orders(self) -> None:
         while not self.is_stopping:
-            if self._orders_version > 0 and self._uses_relay():
-                await self._pause_for_relay()
-                continue
-            try:
-                orders, reading = await self._read_orders()
-            except HistoryDropped:
-                log_decision("orders_history_dropped", version=self._orders_version)
-                self._orders_version = 0
-                continue
-            except StoreUnavailable as error:
-                self._record_store_access(False, str(error))
+            if self.orders.has_read and self._uses_relay(
+                self.orders.age_s, lambda heartbeat: heartbeat.orders_age_s
+            ):
+                await self._pause_for_relay(self.orders.age_s)
+            elif not await self._read_orders(WATCH_TIMEOUT_S):
                 await deferLater(self._reactor, RETRY_DELAY_S, lambda: None)
-                continue
-            self._record_store_access(True)
-            self._apply_orders(orders, reading.rows, reading.version, source="store")
 
-    async def _read_orders(self) -> tuple[OperatorOrders | None, TableReadResult]:
-        if self._orders_version == 0:
-            return await self._orders.read()
-        return await self._orders.watch(self._orders_version, ORDERS_WATCH_TIMEOUT_S)
+    async def _read_orders(self, wait_s: float) -> bool:
+        """Read the operators' table and return whether the store answered."""
+        try:
+            await self.orders.read(wait_s)
+        except HistoryDropped:
+            log_decision("orders_history_dropped", version=self.orders.rows.version)
+        except StoreUnavailable as error:
+            self._record_store_access(False, str(error))
+            return False
+        self._record_store_access(True)
+        return True
 
-    def _apply_orders(
-        self,
-        orders: OperatorOrders | None,
-        rows: list[TableRow],
-        version: int,
-        *,
-        source: str,
-    ) -> None:
-        self._orders_version = max(self._orders_version, version)
-        for row in rows:
-            self.order_row_by_key[row.key] = SharedRow(row.key, row.version, row.value)
-        if orders is None:
-            return
-        if orders.evacuated != self.evacuated:
-            log_decision(
-                "evacuations_changed",
-                domains=sorted(orders.evacuated),
-                source=source,
-                row_version=self.orders_row_version,
-            )
-        self.evacuated = orders.evacuated
-        configuration = orders.configuration
-        active = self.configuration
-        if configuration and (active is None or configuration.version > active.version):
-            self.configuration = configuration
+    def _on_orders_changed(self) -> None:
+        configuration = self.configuration
+        if configuration is not None:
             self.host_selection.configure(configuration.limits_by_service)
-            log_decision(
-                "configuration_in_force",
-                version=configuration.version,
-                routes=len(configuration.route_by_database),
-                source=source,
-                row_version=self.orders_row_version,
-                replaced=active.version if active else 0,
-            )
             metrics = self.kernel.find(SessionMetrics)
             metrics.configuration_version.set(configuration.version)
-        for callback in self.on_orders:
-            callback()
         self.send_heartbeat_now()
 
     @property
-    def orders_row_version(self) -> int:
-        """Newest row version in the cached operators' table."""
-        return max((row.version for row in self.order_row_by_key.values()), default=0)
+    def configuration(self) -> SessionConfiguration | None:
+        """Configuration in force, None until one has been received."""
+        return self.orders.configuration
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains whose targets get no work."""
+        return self.orders.evacuated
 
     def observer(self) -> str:
         """Return the VM that watches the store for this failure domain."""
@@ -550,32 +509,40 @@
         changed = self.state.apply(decoded, version, as_of=as_of, now=now_s())
         self._notify_changed_rows(changed)
 
-    def apply_relayed_orders(self, shared: list[SharedRow], vm: str) -> None:
-        """Apply the operators' table as cached by another VM."""
-        rows = [TableRow(row.key, row.value, row.version) for row in shared]
-        # The next watch of the store still starts at this VM's last own reading.
-        orders = self._orders.decode(rows)
-        self._apply_orders(orders, rows, self._orders_version, source=vm)
-
     def is_duty_holder(self) -> bool:
         """Return whether the shared table names this VM as the duty holder."""
         duty = self.state.duty()
         return duty is not None and duty.holder == self.state.vm
 
-    def _uses_relay(self) -> bool:
+    def _uses_relay(
+        self, age_s: float, read_age: Callable[[PeerHeartbeat], float]
+    ) -> bool:
+        """Return whether the observer's copy of a table may be relied on.
+
+        Parameters
+        ----------
+        age_s : float
+            Age of this VM's copy, in s.
+        read_age : callable
+            Returns the age of the sender's copy, in s, given its heartbeat.
+        """
         observer = self.observer()
-        must_watch = self.is_duty_holder() or observer == self._settings.vm
-        if must_watch or self.table_age_s() > MAX_RELAYED_AGE_S:
+        if observer == self._settings.vm or age_s > MAX_RELAYED_AGE_S:
             return False
         heartbeat_age_s, heartbeat = self.last_heartbeat(observer)
-        return heartbeat_age_s + heartbeat.store_age_s < MAX_RELAYED_AGE_S
+        return heartbeat_age_s + read_age(heartbeat) < MAX_RELAYED_AGE_S
+
+    def _uses_relayed_table(self) -> bool:
+        return not self.is_duty_holder() and self._uses_relay(
+            self.table_age_s(), lambda heartbeat: heartbeat.store_age_s
+        )
 
-    async def _pause_for_relay(self) -> None:
-        """Wait until the relayed copy of the table could have become too old."""
+    async def _pause_for_relay(self, age_s: float) -> None:
+        """Wait until the relayed copy of a table could have become too old."""
         if self.is_hub() or self.is_duty_holder():
             pause_s = RELAY_CHECK_INTERVAL_S
         else:
-            remaining_s = MAX_RELAYED_AGE_S - self.table_age_s()
+            remaining_s = MAX_RELAYED_AGE_S - age_s
             pause_s = max(RELAY_CHECK_INTERVAL_S, min(1.0, remaining_s))
         await deferLater(self._reactor, pause_s, lambda: None)
 
@@ -623,7 +590,9 @@
         self._heartbeat_sent_at = now_s()
         self._is_heartbeat_due = False
         age_s = self.table_age_s()
-        self.kernel.find(SessionMetrics).store_age.set(age_s)
+        metrics = self.kernel.find(SessionMetrics)
+        metrics.store_age.set(age_s)
+        metrics.orders_age.set(round(min(UNKNOWN_AGE_S, self.orders.age_s), 3))
         if age_s > OUTAGE_TABLE_AGE_S:
             self.stale_at = now_s()
         self._follow_hubs()
@@ -650,7 +619,8 @@
         common = {
             "store_age_s": self.table_age_s(),
             "rows_version": self.state.rows_version,
-            "orders_version": self.orders_row_version,
+            "orders_version": self.orders.rows.newest_version,
+            "orders_age_s": round(min(UNKNOWN_AGE_S, self.orders.age_s), 3),
             "is_leaving": self.is_leaving,
         }
         draft = HeartbeatDraft(common, is_greeting)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/rate_service.py
@@ -128,7 +128,7 @@
         """Subscribe to the configuration, the members and the other VMs' demand."""
         self._links.on_peer_up.append(self._on_peer_up)
         self._links.on_peer_message.append(self._on_message)
-        self._fleet.on_orders.append(self._on_orders)
+        self._fleet.orders.on_changed.append(self._on_orders)
         self._fleet.on_heartbeat.append(self._on_heartbeat)
         self._fleet.on_rows.append(self._on_rows)
         self._fleet.on_departure.append(self._on_departure)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from guavabarrow_core.fleet_state import SPONSORSHIP_S
+from guavabarrow_core.operator_rows import TableRow
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.fleet_messages import (
     FleetMessage,
@@ -37,11 +38,11 @@
 """Interval at which a VM requests the tables from its observer."""
 
 STALE_AFTER_S = 1.8
-"""Age of the shared table beyond which any VM with a newer one is asked."""
+"""Age of a copy of a table beyond which any VM with a newer one is asked."""
 
 MIN_LEAD_S = 0.3
-"""Such a VM is asked if its table is newer by at least this much. After its answer, its
-heartbeats trigger no further request for the same time."""
+"""Such a VM is asked if its copy is newer by at least this much. After its answer, it
+is asked again after the same time at the earliest."""
 
 SPONSOR_INTERVAL_S = 0.35
 """Interval at which a VM that can't register requests a sponsorship; a third of how
@@ -73,7 +74,8 @@
         self._directory = kernel.find(DirectoryService)
         self._pending_by_vm: dict[str, PendingRequest] = {}
         self._answered_at_by_vm: dict[str, float] = {}
-        self._compressed_by_key: dict[str, SharedRow] = {}
+        self._packed_by_key: dict[str, SharedRow] = {}
+        self._delayed_vms: set[str] = set()
         self._last_number = 0
         self._request_loop: LoopingCall | None = None
         self._sponsor_loop: LoopingCall | None = None
@@ -161,7 +163,7 @@
         request = TableRequest(
             self._last_number,
             self._fleet.state.rows_version,
-            self._fleet.orders_row_version,
+            self._fleet.orders.received_version,
             self._directory.list_digest,
             wants_sponsor,
         )
@@ -177,25 +179,45 @@
                 self._apply(vm, message)
 
     def _on_heartbeat(self, vm: str, heartbeat: PeerHeartbeat) -> None:
-        own_age_s = self._fleet.table_age_s()
-        is_ahead = own_age_s > STALE_AFTER_S and (
-            heartbeat.store_age_s < own_age_s - MIN_LEAD_S
-        )
-        is_source = vm == self._fleet.observer() or is_ahead
-        is_newer = is_source and (
-            heartbeat.rows_version > self._fleet.state.rows_version
-            or heartbeat.orders_version > self._fleet.orders_row_version
-        )
-        is_newer = is_newer or self._observer_lacks_orders(heartbeat.orders_version)
-        needs_targets = self._needs_target_list(vm, heartbeat)
-        if not (is_ahead or is_newer or needs_targets):
+        if self._has_newer_rows(vm, heartbeat) or self._needs_target_list(
+            vm, heartbeat
+        ):
+            wait_s = self._answered_at_by_vm.get(vm, 0.0) + MIN_LEAD_S - now_s()
+            if wait_s <= 0.0:
+                self._request(vm)
+            elif vm not in self._delayed_vms:
+                # Whoever sends no further heartbeat soon would be asked much later.
+                self._delayed_vms.add(vm)
+                self._reactor.callLater(wait_s, self._request_delayed, vm)
+
+    def _request_delayed(self, vm: str) -> None:
+        self._delayed_vms.discard(vm)
+        if self._fleet.is_stopping:
             return
-        if now_s() - self._answered_at_by_vm.get(vm, 0.0) > MIN_LEAD_S:
+        _, heartbeat = self._fleet.last_heartbeat(vm)
+        if self._has_newer_rows(vm, heartbeat):
             self._request(vm)
 
+    def _has_newer_rows(self, vm: str, heartbeat: PeerHeartbeat) -> bool:
+        """Return whether a VM has rows that this one should request from it."""
+        fleet = self._fleet
+        is_ahead = _is_ahead(heartbeat.store_age_s, fleet.table_age_s()) or _is_ahead(
+            heartbeat.orders_age_s, fleet.orders.age_s
+        )
+        is_source = is_ahead or vm == fleet.observer()
+        has_newer = (
+            heartbeat.rows_version > fleet.state.rows_version
+            or heartbeat.orders_version > fleet.orders.received_version
+        )
+        return (
+            is_ahead
+            or (is_source and has_newer)
+            or self._observer_lacks_orders(heartbeat.orders_version)
+        )
+
     def _observer_lacks_orders(self, orders_version: int) -> bool:
         """Return whether the observer lacks orders; it may not reach the store."""
-        if orders_version <= self._fleet.orders_row_version:
+        if orders_version <= self._fleet.orders.received_version:
             return False
         observer = self._fleet.observer()
         if observer == self._fleet.state.vm:
@@ -223,11 +245,8 @@
             for row in fleet.state.row_by_key.values()
             if row.version > request.rows_version
         ]
-        orders = [
-            self._compress(row)
-            for row in fleet.order_row_by_key.values()
-            if row.version > request.orders_version
-        ]
+        copy = fleet.orders.rows
+        orders = [self._pack(row) for row in copy.newer_than(request.orders_version)]
         is_current = request.directory_change == self._directory.list_digest
         answer = TableAnswer(
             number=request.number,
@@ -236,8 +255,11 @@
             fleet_version=fleet.state.version,
             rows_version=rows_version,
             rows=rows,
-            orders_version=fleet.orders_row_version,
+            orders_version=copy.newest_version,
             orders=orders,
+            orders_read_version=copy.version,
+            orders_store_s=copy.store_s,
+            order_keys=copy.live_keys(),
             directory_age_s=self._directory.age_s,
             directory_change=self._directory.list_digest,
             targets=None if is_current else self._directory.entries(),
@@ -253,11 +275,12 @@
         self._fleet.sponsoring_until = now + SPONSORSHIP_S
         return True
 
-    def _compress(self, row: SharedRow) -> SharedRow:
-        compressed = self._compressed_by_key.get(row.key)
-        if compressed is None or compressed.version != row.version:
-            compressed = self._compressed_by_key[row.key] = row.compress()
-        return compressed
+    def _pack(self, row: TableRow) -> SharedRow:
+        packed = self._packed_by_key.get(row.key)
+        if packed is None or packed.version != row.version:
+            packed = SharedRow(row.key, row.version, row.value).compress()
+            self._packed_by_key[row.key] = packed
+        return packed
 
     def _apply(self, vm: str, answer: TableAnswer) -> None:
         pending = self._pending_by_vm.get(vm)
@@ -267,7 +290,7 @@
         self._answered_at_by_vm[vm] = now_s()
         sent_at = pending.sent_at
         try:
-            orders = [row.decompress() for row in answer.orders]
+            orders = [_to_table_row(row.decompress()) for row in answer.orders]
         except zlib.error as error:
             log_decision("relayed_orders_unreadable", peer=vm, detail=str(error))
             return
@@ -284,8 +307,13 @@
         )
         if answer.is_sponsor:
             self._accept_sponsorship(vm, answer, sent_at)
-        if orders:
-            self._fleet.apply_relayed_orders(orders, vm)
+        self._fleet.orders.apply_relayed(
+            orders,
+            source=vm,
+            version=answer.orders_read_version,
+            store_s=answer.orders_store_s,
+            live_keys=answer.order_keys,
+        )
         if answer.targets is not None:
             age_s = answer.directory_age_s + now_s() - sent_at
             self._directory.apply_relayed_listing(answer.targets, age_s)
@@ -300,6 +328,15 @@
         state.accept_sponsorship(vm, self._links.incarnation_of(vm), sent_at)
 
 
+def _is_ahead(age_s: float, own_age_s: float) -> bool:
+    """Return whether another VM's copy of a table is newer than an old one here."""
+    return own_age_s > STALE_AFTER_S and age_s < own_age_s - MIN_LEAD_S
+
+
+def _to_table_row(row: SharedRow) -> TableRow:
+    return TableRow(row.key, row.value, row.version)
+
+
 def _to_shared_row(row: VersionedRow) -> SharedRow:
     value = None if row.row is None else encode_row(row.row)
     return SharedRow(row.key, row.version, value)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -104,6 +104,11 @@
             "Age of the shared table as known",
             registry=self.registry,
         )
+        self.orders_age = Gauge(
+            "guavabarrow_operator_orders_age_seconds",
+            "Time since configuration and evacuations were last known to be current",
+            registry=self.registry,
+        )
 
         self.usage_operations = self._counter(
             "usage_operations", "Operations counted for usage reports"
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
@@ -11,19 +11,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavabarrow_core.operator_rows import TableRow
     from guavabarrow_core.session_configuration import SessionConfiguration
     from guavabarrow_core.target_directory import TargetEntry
 
 
-@dataclass(frozen=True, slots=True)
-class TableRow:
-    """One row; ``value`` is None if the row was deleted."""
-
-    key: str
-    value: bytes | None
-    version: int
-
-
 @dataclass(frozen=True, slots=True)
 class TableReadResult:
     """Result of a read or a watch.
@@ -89,37 +81,32 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OperatorOrders:
-    """Configuration and evacuations set by operators, as of one point in time.
-
-    Parameters
-    ----------
-    configuration : SessionConfiguration or None
-        Newest configuration, None if it is unchanged or does not exist yet.
-    evacuated : frozenset of str
-        Failure domains whose targets receive no statements.
-    """
+class Evacuation:
+    """Operators' order that the targets of a failure domain receive no statements."""
 
-    configuration: SessionConfiguration | None
-    evacuated: frozenset[str]
+    domain: str
 
 
 class OperatorSource(ABC):
-    """Reads the configuration and the evacuations."""
+    """Reads the operators' table, which has the configuration and the evacuations."""
 
     @abstractmethod
-    async def read(self) -> tuple[OperatorOrders, TableReadResult]:
-        """Read the complete orders."""
+    async def read(self) -> TableReadResult:
+        """Read all rows as of one point in time."""
 
     @abstractmethod
-    async def watch(
-        self, after: int, wait_s: float
-    ) -> tuple[OperatorOrders | None, TableReadResult]:
-        """Wait for changes; the orders are None if there were none."""
+    async def watch(self, after: int, wait_s: float) -> TableReadResult:
+        """Wait for changes; see :meth:`WatchedTable.watch`."""
 
     @abstractmethod
-    def decode(self, rows: list[TableRow]) -> OperatorOrders | None:
-        """Apply changed rows and return the complete orders."""
+    def decode(self, row: TableRow) -> SessionConfiguration | Evacuation | None:
+        """Decode a row that was not deleted; None if it is of another kind.
+
+        Raises
+        ------
+        UndecodableValue
+            If its value is malformed.
+        """
 
 
 class DirectorySource(ABC):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/gathering_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/gathering_service.py
@@ -84,7 +84,7 @@
         """Start to send and receive."""
         self._links.on_peer_message.append(self._on_message)
         self._links.on_peer_up.append(self._on_peer_up)
-        self._fleet.on_orders.append(self._learn_teams)
+        self._fleet.orders.on_changed.append(self._learn_teams)
         self._loop = self.kernel.tasks.create_periodic(
             "usage_changes", self._send_changes, self._reactor
         )
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -9,19 +9,20 @@
 from twisted.internet.task import deferLater
 
 from guavabarrow_core.log_position import LogPosition
+from guavabarrow_core.operator_rows import TableRow
 from guavabarrow_core.session_configuration import ServiceLimits, SessionConfiguration
 from guavabarrow_core.session_messages import TargetStatus
 from guavabarrow_core.target_directory import TargetEntry
+from guavabarrow_daemon.decoding import UndecodableValue
 from guavabarrow_daemon.store.exceptions import HistoryDropped, StoreUnavailable
 from guavabarrow_daemon.store.watched_table import (
     DirectorySource,
-    OperatorOrders,
+    Evacuation,
     OperatorSource,
     PromotionAuthority,
     PromotionRefused,
     PromotionWithdrawn,
     TableReadResult,
-    TableRow,
     TableWriteResult,
     WatchedTable,
 )
@@ -205,42 +206,24 @@
     def __init__(self, store: SimStore, reactor: SimReactor) -> None:
         self._store = store
         self._table = SimTable(store, reactor)
-        self._evacuated: set[str] = set()
 
-    async def read(self) -> tuple[OperatorOrders, TableReadResult]:
+    async def read(self) -> TableReadResult:
         """Read the whole table."""
-        reading = await self._table.read()
-        self._evacuated.clear()
-        orders = self.decode(reading.rows)
-        return orders or OperatorOrders(None, frozenset()), reading
-
-    async def watch(
-        self, after: int, wait_s: float
-    ) -> tuple[OperatorOrders | None, TableReadResult]:
-        """Wait for changes."""
-        reading = await self._table.watch(after, wait_s)
-        return self.decode(reading.rows), reading
+        return await self._table.read()
 
-    def decode(self, rows: list[TableRow]) -> OperatorOrders | None:
-        """Decode rows; the version of a configuration is the version of its row."""
-        if not rows:
-            return None
-        configuration = None
-        for row in rows:
-            if row.key.startswith(EVACUATION_PREFIX):
-                domain = row.key.removeprefix(EVACUATION_PREFIX)
-                if row.value is None:
-                    self._evacuated.discard(domain)
-                else:
-                    self._evacuated.add(domain)
-            elif row.value is not None and row.value[:1] != UNREADABLE:
-                configuration = self._decode_configuration(row.version)
-        return OperatorOrders(configuration, frozenset(self._evacuated))
-
-    def _decode_configuration(self, version: int) -> SessionConfiguration:
+    async def watch(self, after: int, wait_s: float) -> TableReadResult:
+        """Wait for changes."""
+        return await self._table.watch(after, wait_s)
+
+    def decode(self, row: TableRow) -> SessionConfiguration | Evacuation | None:
+        """Decode a row; the version of a configuration is the version of its row."""
+        if row.key.startswith(EVACUATION_PREFIX):
+            return Evacuation(row.key.removeprefix(EVACUATION_PREFIX))
+        if row.value is None or row.value[:1] == UNREADABLE:
+            raise UndecodableValue("not a configuration")
         limits = {SERVICE: ServiceLimits(sync_replicas=self._store.sync_replicas)}
         return SessionConfiguration(
-            version,
+            row.version,
             limits_by_service=limits,
             team_by_key=self._store.team_by_key,
         )
--- a/packages/guavabarrow-daemon/tests/test_route_explanation.py
+++ b/packages/guavabarrow-daemon/tests/test_route_explanation.py
@@ -51,7 +51,7 @@
         self.kernel.register(self.chooser)
         self.kernel.register(ServiceHosts(self.kernel, None))
         self.fleet = self.kernel.find(FleetService)
-        self.fleet.configuration = CONFIGURATION
+        self.fleet.orders.configuration = CONFIGURATION
         self.rates = self.kernel.find(RateService).rates
         self.rates.configure(CONFIGURATION.rates())
 
@@ -105,7 +105,7 @@
     vm.observe_primary(7)
     first, second = (e for e in view.candidates if e.role == "replica")
     vm.chooser.mark_behind(first.target)
-    vm.fleet.evacuated = frozenset({second.domain})
+    vm.fleet.orders.evacuated = frozenset({second.domain})
     by_target = {entry.target: entry for entry in vm.explain().candidates}
     assert "excluded for 80 ms more" in by_target[first.target].reason
     assert by_target[second.target].reason == "its domain is evacuated"
@@ -163,7 +163,7 @@
 
 
 def test_a_vm_without_configuration_says_so(vm):
-    vm.fleet.configuration = None
+    vm.fleet.orders.configuration = None
     with pytest.raises(RouteQueryError) as raised:
         vm.explain()
     assert (raised.value.code, raised.value.status) == ("no_configuration", 503)
--- a/tests/platform_adapter/test_operator_tables.py
+++ b/tests/platform_adapter/test_operator_tables.py
@@ -10,8 +10,11 @@
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
 
+from guavabarrow_core.operator_rows import TableRow
+from guavabarrow_core.store_clock import StoreClock
 from guavabarrow_daemon.decoding import UndecodableValue
-from guavabarrow_daemon.store.watched_table import TableReadResult, TableRow
+from guavabarrow_daemon.fleet.operator_orders import OperatorOrders
+from guavabarrow_daemon.store.watched_table import TableReadResult
 from guavabarrow_platform.operator_tables import (
     StoredDirectory,
     StoredOrders,
@@ -97,11 +100,21 @@
         decode_entry("t", json.dumps(fields).encode())
 
 
+def orders_from(*rows: TableRow) -> OperatorOrders:
+    source = StoredOrders(FakeTable())
+    orders = OperatorOrders(source, StoreClock())
+    orders.apply(
+        rows, source="store", version=9, as_of=1.0, store_s=1.0, live_keys=None
+    )
+    return orders
+
+
 def test_an_unreadable_configuration_is_left_out():
     """The loop that reads the operators' table ended as well."""
     value = b'{"Extra": ' + b"[" * 40_000
-    rows = [TableRow("config", value, 1), TableRow("evacuate/north", b"{}", 2)]
-    orders = StoredOrders(FakeTable()).decode(rows)
+    orders = orders_from(
+        TableRow("config", value, 1), TableRow("evacuate/north", b"{}", 2)
+    )
     assert orders.configuration is None
     assert orders.evacuated == {"north"}
 
@@ -110,8 +123,7 @@
 def test_a_configuration_with_an_unknown_kind_of_route_is_left_out(kind):
     route = {"Host": "shop", "Service": "orders", "Kind": kind}
     value = json.dumps({**CONFIGURATION, "Routes": [route]}).encode()
-    orders = StoredOrders(FakeTable()).decode([TableRow("config", value, 1)])
-    assert orders.configuration is None
+    assert orders_from(TableRow("config", value, 1)).configuration is None
 
 
 def test_names_that_no_target_can_be_told_are_left_out():
