Begin nothing by orders from before a start or a suspension

Cause: a VM that starts while the store doesn't answer it put the rows of the first VM that it was linked to in force, however old. A VM whose process was suspended went on by the configuration from before: statements that had arrived meanwhile were read before the store's answer, so that keys that had been withdrawn were accepted.

Change: after a start or a suspension the orders count as unconfirmed until a copy of a later moment has arrived, from the store or from another VM; the moment is counted on the store's clock, so that buffered answers confirm nothing. A VM that starts has no configuration until then and is not ready. A VM that was suspended asks the store at once, and operations and sessions wait for the answer. Both waits are bounded (1.5 s and 0.5 s): a VM that reaches nobody serves with what it has. A turn of the event loop more than 1 s late counts as a suspension.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -156,7 +156,7 @@
         self.hubs_by_domain: dict[str, tuple[str, ...]] = {}
         self.sponsoring_until = now_s() + SPONSORSHIP_S
         self.clock = StoreClock()
-        self.orders = OperatorOrders(orders, self.clock)
+        self.orders = OperatorOrders(orders, self.clock, reactor)
         self.on_rows: list[Callable[[list[VersionedRow]], None]] = []
         self.on_heartbeat: list[Callable[[str, PeerHeartbeat], None]] = []
         self.on_departure: list[Callable[[str], None]] = []
@@ -190,6 +190,7 @@
         self._links.on_peer_message.append(self._on_message)
         self._links.on_peer_up.append(self._on_peer_up)
         self.orders.on_changed.append(self._on_orders_changed)
+        self.orders.on_unconfirmed.append(self._on_orders_unconfirmed)
         tasks = self.kernel.tasks
         tasks.start_loop("table_watch", self._watch_table, self._reactor)
         tasks.start_loop("orders_watch", self._watch_orders, self._reactor)
@@ -454,6 +455,10 @@
         self._record_store_access(True)
         return True
 
+    def _on_orders_unconfirmed(self) -> None:
+        """Read the operators' table at once, whoever does so otherwise."""
+        self.kernel.tasks.start("orders_confirmation", self._read_orders(0.0))
+
     def _on_orders_changed(self) -> None:
         configuration = self.configuration
         if configuration is not None:
@@ -590,6 +595,7 @@
         self._heartbeat_sent_at = now_s()
         self._is_heartbeat_due = False
         age_s = self.table_age_s()
+        self.orders.record_turn()
         metrics = self.kernel.find(SessionMetrics)
         metrics.store_age.set(age_s)
         metrics.orders_age.set(round(min(UNKNOWN_AGE_S, self.orders.age_s), 3))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
@@ -1,12 +1,16 @@
-"""The operators' orders as this VM knows them.
+"""The operators' orders as this VM knows them, and whether they are current.
 
 Rows come from the store or from other VMs; :class:`OperatorRows` keeps the newest of
-each.
+each. When a process starts or was suspended, orders may have changed unnoticed. They
+then count as unconfirmed until a copy of a later moment has arrived. That is awaited
+for a limited time only, because a VM that reaches nobody serves with what it has.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet.defer import Deferred
 
 from guavabarrow_core.operator_rows import OperatorRows
 from guavabarrow_core.session_configuration import SessionConfiguration
@@ -23,6 +27,16 @@
     from guavabarrow_core.store_clock import StoreClock
     from guavabarrow_daemon.store.watched_table import OperatorSource, TableReadResult
 
+START_CONFIRM_TIMEOUT_S = 1.5
+"""Longest wait for confirmed orders after a start. A VM that watches the store has
+newer ones once in 1.2 s."""
+
+RESUME_CONFIRM_TIMEOUT_S = 0.5
+"""Longest wait after a suspension, which a statement spends of its timeout."""
+
+SUSPENDED_AFTER_S = 1.0
+"""Time without a turn of the event loop after which it counts as suspended."""
+
 
 class OperatorOrders:
     """Configuration and evacuations in force at this VM.
@@ -33,11 +47,11 @@
         Reads and decodes the operators' table.
     clock : StoreClock
         Converts the store's times to local times.
+    reactor : object
+        Reactor of the time-outs.
 
     Attributes
     ----------
-    configuration : SessionConfiguration or None
-        Configuration in force, None until one has been received.
     evacuated : frozenset of str
         Failure domains whose targets get no work.
     rows : OperatorRows
@@ -46,18 +60,34 @@
         Whether this VM has read the whole table from the store.
     on_changed : list of callable
         Called after rows changed.
+    on_unconfirmed : list of callable
+        Called when the orders have to be confirmed after a suspension.
     """
 
-    def __init__(self, source: OperatorSource, clock: StoreClock) -> None:
-        self.configuration: SessionConfiguration | None = None
+    def __init__(self, source: OperatorSource, clock: StoreClock, reactor: Any) -> None:
         self.evacuated: frozenset[str] = frozenset()
         self.rows = OperatorRows()
         self.has_read = False
         self.on_changed: list[Callable[[], None]] = []
+        self.on_unconfirmed: list[Callable[[], None]] = []
         self._source = source
         self._clock = clock
+        self._reactor = reactor
+        self._received: SessionConfiguration | None = None
+        self._received_from = ""
         self._order_by_key: dict[str, SessionConfiguration | Evacuation | None] = {}
         self._undecodable_version_by_key: dict[str, int] = {}
+        self._turned_at = now_s()
+        self._unconfirmed_since = self._turned_at
+        self._is_confirmed = False
+        self._has_been_confirmed = False
+        self._timeout: Any = None
+        self._waiting: list[Deferred[None]] = []
+
+    @property
+    def configuration(self) -> SessionConfiguration | None:
+        """Configuration in force, None until one has been confirmed after the start."""
+        return self._received if self._has_been_confirmed else None
 
     @property
     def age_s(self) -> float:
@@ -71,11 +101,13 @@
         Without a configuration it is 0: if the newest one can't be decoded, others may
         still have the one before it.
         """
-        if self.configuration is None:
+        if self._received is None:
             return 0
         undecodable = self._undecodable_version_by_key.values()
         return max(self.rows.newest_version, *undecodable, 0)
 
+    # Receiving rows
+
     async def read(self, wait_s: float) -> None:
         """Read the whole table from the store, and after that its changes.
 
@@ -166,7 +198,8 @@
                 version, as_of=as_of, store_s=store_s, live_keys=live_keys
             )
         if changed:
-            self._put_in_force(changed, source)
+            self._receive(changed, source)
+        self._follow_confirmation()
 
     def _decode_newer(self, rows: Iterable[TableRow]) -> list[TableRow]:
         """Decode the rows that are newer than the cached ones, and return them."""
@@ -197,7 +230,7 @@
                 detail=str(error),
             )
 
-    def _put_in_force(self, changed: list[TableRow], source: str) -> None:
+    def _receive(self, changed: list[TableRow], source: str) -> None:
         for row in changed:
             if row.value is None:
                 self._order_by_key.pop(row.key, None)
@@ -214,23 +247,89 @@
                 row_version=self.rows.newest_version,
             )
         for order in orders:
-            if isinstance(order, SessionConfiguration):
-                self._put_configuration_in_force(order, source)
+            if isinstance(order, SessionConfiguration) and (
+                self._received is None or order.version > self._received.version
+            ):
+                self._received = order
+                self._received_from = source
+                self._log_configuration()
         for callback in self.on_changed:
             callback()
 
-    def _put_configuration_in_force(
-        self, configuration: SessionConfiguration, source: str
-    ) -> None:
-        replaced = self.configuration
-        if replaced is not None and replaced.version >= configuration.version:
+    def _log_configuration(self) -> None:
+        configuration = self.configuration
+        if configuration is not None:
+            log_decision(
+                "configuration_in_force",
+                version=configuration.version,
+                routes=len(configuration.route_by_database),
+                source=self._received_from,
+                row_version=self.rows.newest_version,
+            )
+
+    # Confirmation
+
+    def is_confirmed(self) -> bool:
+        """Return whether statements may begin by these orders.
+
+        They may not for a limited time after a start or a suspension, until a copy of a
+        later moment has arrived.
+        """
+        self.record_turn()
+        return self._is_confirmed
+
+    def record_turn(self) -> None:
+        """Record a turn of the event loop, and notice if it was suspended before."""
+        now = now_s()
+        suspended_s = now - self._turned_at
+        self._turned_at = now
+        if suspended_s <= SUSPENDED_AFTER_S or not self._has_been_confirmed:
             return
-        self.configuration = configuration
         log_decision(
-            "configuration_in_force",
-            version=configuration.version,
-            routes=len(configuration.route_by_database),
-            source=source,
-            row_version=self.rows.newest_version,
-            replaced=replaced.version if replaced else 0,
+            "orders_unconfirmed",
+            suspended_s=round(suspended_s, 2),
+            age_s=round(self.age_s, 2),
+        )
+        self._is_confirmed = False
+        self._unconfirmed_since = now
+        self._limit_wait(RESUME_CONFIRM_TIMEOUT_S)
+        for callback in self.on_unconfirmed:
+            callback()
+
+    def when_confirmed(self) -> Deferred[None]:
+        """Return a Deferred that fires once the orders are confirmed."""
+        waiting: Deferred[None] = Deferred()
+        self._waiting.append(waiting)
+        return waiting
+
+    def _follow_confirmation(self) -> None:
+        if self._is_confirmed or self._received is None:
+            return
+        if self.rows.as_of >= self._unconfirmed_since:
+            self._set_confirmed("copy")
+        elif self._timeout is None:
+            self._limit_wait(START_CONFIRM_TIMEOUT_S)
+
+    def _limit_wait(self, timeout_s: float) -> None:
+        self._cancel_timeout()
+        self._timeout = self._reactor.callLater(
+            timeout_s, self._set_confirmed, "timeout"
         )
+
+    def _cancel_timeout(self) -> None:
+        if self._timeout is not None and self._timeout.active():
+            self._timeout.cancel()
+        self._timeout = None
+
+    def _set_confirmed(self, reason: str) -> None:
+        self._cancel_timeout()
+        is_first = not self._has_been_confirmed
+        self._is_confirmed = self._has_been_confirmed = True
+        log_decision("orders_confirmed", reason=reason, age_s=round(self.age_s, 2))
+        if is_first:
+            self._log_configuration()
+            for callback in self.on_changed:
+                callback()
+        waiting, self._waiting = self._waiting, []
+        for deferred in waiting:
+            deferred.callback(None)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -152,6 +152,7 @@
         if self.state is TransactionState.FAILED:
             return self._handle_after_failure(kind)
         if self.state is TransactionState.IDLE:
+            await self._admission.wait_for_orders()
             self._start_operation(received_at)
         elif self._admission.is_withdrawn(self.key, self.database):
             raise SessionError(FailureCode.ABORTED, "the key was withdrawn")
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
@@ -48,6 +48,16 @@
         """Configuration in force."""
         return self._fleet.configuration
 
+    def has_confirmed_orders(self) -> bool:
+        """Return whether operations may begin by the configuration in force."""
+        orders = self._fleet.orders
+        return orders.is_confirmed() or orders.configuration is None
+
+    async def wait_for_orders(self) -> None:
+        """Wait until operations may begin by the configuration in force."""
+        if not self.has_confirmed_orders():
+            await self._fleet.orders.when_confirmed()
+
     def look_up(self, database: str, key: str) -> tuple[Route, str]:
         """Return the route of a database and the team of a key.
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
@@ -154,6 +154,10 @@
             message = self._queue.popleft()
             match message:
                 case OpenSession() if self.session is None:
+                    if not self._front.admission.has_confirmed_orders():
+                        self._queue.appendleft(message)
+                        self._front.run_when_confirmed(self._process_queue)
+                        return
                     self._open_session(message)
                 case StatementRequest() if self.session is not None:
                     self._running = message
@@ -300,6 +304,11 @@
         """Number of connections with a running statement or an open transaction."""
         return sum(not connection.is_idle for connection in self._connections)
 
+    def run_when_confirmed(self, function: Callable[[], None]) -> None:
+        """Call a function once the orders of operators are confirmed."""
+        confirmed = self._fleet.orders.when_confirmed()
+        confirmed.addCallback(lambda _: function())
+
     def add(self, connection: CallerConnection) -> bool:
         """Register a connection and return whether it is within ``max_sessions``."""
         self._connections.add(connection)
--- a/packages/guavabarrow-daemon/tests/sim_fleet.py
+++ b/packages/guavabarrow-daemon/tests/sim_fleet.py
@@ -133,7 +133,8 @@
     @property
     def new_operation_version(self) -> int:
         """Configuration version by which an operation would begin now, 0 if none."""
-        return self.configuration_version
+        is_confirmed = self.kernel.find(FleetService).orders.is_confirmed()
+        return self.configuration_version if is_confirmed else 0
 
     @property
     def holds_duty(self) -> bool:
--- a/packages/guavabarrow-daemon/tests/sim_hosts.py
+++ b/packages/guavabarrow-daemon/tests/sim_hosts.py
@@ -141,6 +141,9 @@
         self.tokens = 0
         self.drain = None
 
+    async def wait_for_orders(self):
+        pass
+
     async def admit(self, team, *, objective_s):
         self.tokens += 1
 
--- a/packages/guavabarrow-daemon/tests/test_route_explanation.py
+++ b/packages/guavabarrow-daemon/tests/test_route_explanation.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 from sim_fleet import SimFleet
@@ -51,7 +53,9 @@
         self.kernel.register(self.chooser)
         self.kernel.register(ServiceHosts(self.kernel, None))
         self.fleet = self.kernel.find(FleetService)
-        self.fleet.orders.configuration = CONFIGURATION
+        self.fleet.orders = SimpleNamespace(
+            configuration=CONFIGURATION, evacuated=frozenset()
+        )
         self.rates = self.kernel.find(RateService).rates
         self.rates.configure(CONFIGURATION.rates())
 
--- a/tests/platform_adapter/test_operator_tables.py
+++ b/tests/platform_adapter/test_operator_tables.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
 from guavabarrow_core.operator_rows import TableRow
 from guavabarrow_core.store_clock import StoreClock
@@ -102,7 +103,7 @@
 
 def orders_from(*rows: TableRow) -> OperatorOrders:
     source = StoredOrders(FakeTable())
-    orders = OperatorOrders(source, StoreClock())
+    orders = OperatorOrders(source, StoreClock(), Clock())
     orders.apply(
         rows, source="store", version=9, as_of=1.0, store_s=1.0, live_keys=None
     )
