Check the route and the team before an operation is sent to a target

A statement looked up its route and team when it arrived and kept them while it waited. If the configuration changed meanwhile, callers saw the statement run by the service that the route had before, with a key that had been withdrawn, or for a team that no longer held the key.

The context of a statement now tells whether its route and team are those in force: an identity comparison of the configuration, and a comparison of service, consistency, age and team after a change. It is asked when a connection is acquired or refused, after each wait for a primary, and before and after BEGIN. An operation that may not go on starts over by the route in force. If that is for another team, the token goes back to the former one unless a target has seen the statement. A withdrawn key or route is refused as for a new statement.

A transaction whose BEGIN was answered here takes the route in force when its first statement is sent: nothing ran before, so it can't be told from one that began after the change. One that has a statement at a target keeps its route.

--- a/packages/guavabarrow-core/src/guavabarrow_core/session_configuration.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/session_configuration.py
@@ -51,6 +51,14 @@
     priority: int = 1
     is_open: bool = False
 
+    def runs_like(self, other: Route) -> bool:
+        """Return whether both routes allow the same targets to run a statement."""
+        return (self.service, self.consistency, self.max_age_s) == (
+            other.service,
+            other.consistency,
+            other.max_age_s,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceLimits:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -18,6 +18,7 @@
 )
 from guavabarrow_core.session_values import PreparedShape, SessionValues
 from guavabarrow_daemon.front.statement_context import (
+    RouteChanged,
     StatementContext,
     TransactionHandle,
 )
@@ -26,7 +27,7 @@
 
 if TYPE_CHECKING:
     from guavabarrow_core.log_position import LogPosition
-    from guavabarrow_core.session_configuration import Route
+    from guavabarrow_core.session_configuration import Route, SessionConfiguration
     from guavabarrow_core.session_messages import Reply
     from guavabarrow_daemon.front.session_admission import SessionAdmission
     from guavabarrow_daemon.front.statement_runner import StatementRunner
@@ -91,9 +92,10 @@
         self._position: LogPosition | None = None
         self._route: Route | None = None
         self._team = ""
+        self._configuration: SessionConfiguration | None = None
         self._began_at = 0.0
         self._is_read_only = False
-        self._has_token = False
+        self._token_team = ""
         self._transaction: TransactionHandle | None = None
         self._failed_attempts: list[str] = []
         self._context: StatementContext | None = None
@@ -222,8 +224,37 @@
         return [StatementFailed(code, STOPPING_DETAIL), SessionReady(self.state)]
 
     def _start_operation(self, received_at: float) -> None:
-        self._route, self._team = self._admission.look_up(self.database, self.key)
+        self._look_up()
         self._began_at = received_at
+        self._token_team = ""
+
+    def _look_up(self) -> None:
+        configuration = self._admission.configuration
+        self._route, self._team = self._admission.look_up(self.database, self.key)
+        self._configuration = configuration
+
+    def _is_route_current(self) -> bool:
+        """Return whether the operation's route and team are those in force."""
+        configuration = self._admission.configuration
+        if configuration is self._configuration:
+            return True
+        route = self._route
+        if route is None or not self._admission.is_in_force(
+            self.database, self.key, route, self._team
+        ):
+            return False
+        self._configuration = configuration
+        return True
+
+    async def _start_over(self, context: StatementContext, received_at: float) -> None:
+        """Prepare an operation whose route or team changed while it waited."""
+        self._look_up()
+        if self._team != self._token_team:
+            self._return_token()
+            self._token_team = ""
+            context.was_sent_to_target = False
+            await self._admit()
+        self._update_context(context, received_at)
 
     async def _begin(self, statement: Statement, received_at: float) -> list[Answer]:
         if self.state is TransactionState.OPEN:
@@ -235,9 +266,21 @@
         return self._completed()
 
     async def _admit(self) -> None:
-        objective_s = self._route.objective_s if self._route is not None else 0.0
-        await self._admission.rates.admit(self._team, objective_s=objective_s)
-        self._has_token = True
+        """Wait for a rate token of the key's team, which may change meanwhile."""
+        while self._token_team != self._team:
+            team, route = self._team, self._route
+            objective_s = route.objective_s if route is not None else 0.0
+            await self._admission.rates.admit(team, objective_s=objective_s)
+            self._token_team = team
+            if self._is_route_current():
+                return
+            try:
+                self._look_up()
+            except SessionError:
+                self._return_unused_token()
+                raise
+            if self._team != team:
+                self._return_unused_token()
 
     def _roll_back(self) -> list[Answer]:
         if self.state is not TransactionState.OPEN:
@@ -246,9 +289,9 @@
         self.state = TransactionState.IDLE
         if transaction is not None:
             self._start_roll_back(transaction)
-        elif self._has_token:
-            self._admission.rates.return_token(self._team)
-        self._has_token = False
+        else:
+            self._return_unused_token()
+        self._token_team = ""
         return self._completed()
 
     async def _commit(
@@ -257,12 +300,12 @@
         if self.state is not TransactionState.OPEN:
             raise SessionError(FailureCode.MALFORMED, "no transaction is open")
         context = self._create_context(request, received_at)
-        transaction = await self._ensure_transaction(context)
+        transaction = await self._ensure_transaction(context, received_at)
         reply = await self._runner.run_in_transaction(
             context, transaction, request.statement, None
         )
         self._transaction = None
-        self._has_token = False
+        self._token_team = ""
         if reply.failure is None:
             self.state = TransactionState.IDLE
             self._record_position(transaction.at_primary, reply)
@@ -286,7 +329,7 @@
             writes = shape.writes
         context = self._create_context(request, received_at)
         if self.state is TransactionState.OPEN:
-            transaction = await self._ensure_transaction(context)
+            transaction = await self._ensure_transaction(context, received_at)
             reply = await self._runner.run_in_transaction(
                 context, transaction, statement, shape
             )
@@ -297,42 +340,81 @@
                 raise SessionError(reply.failure.code, reply.failure.detail)
             return self._answer_completed(request, reply, received_at)
         await self._admit()
+        self._update_context(context, received_at)
+        reply = await self._run_single(context, statement, shape, writes, received_at)
         if writes:
-            reply = await self._runner.run_write(context, statement, shape)
             self._record_position(True, reply)
-        else:
-            reply = await self._runner.run_read(context, statement, shape)
-        self._has_token = False
+        self._token_team = ""
         return self._answer_completed(request, reply, received_at)
 
-    async def _ensure_transaction(self, context: StatementContext) -> TransactionHandle:
-        if self._transaction is None:
-            self._transaction = await self._runner.begin(
-                context, is_read_only=self._is_read_only
-            )
+    async def _run_single(
+        self,
+        context: StatementContext,
+        statement: Statement,
+        shape: PreparedShape | None,
+        writes: bool,
+        received_at: float,
+    ) -> Reply:
+        run = self._runner.run_write if writes else self._runner.run_read
+        while True:
+            try:
+                return await run(context, statement, shape)
+            except RouteChanged:
+                await self._start_over(context, received_at)
+
+    async def _ensure_transaction(
+        self, context: StatementContext, received_at: float
+    ) -> TransactionHandle:
+        while self._transaction is None:
+            try:
+                self._transaction = await self._begin_at_target(context)
+            except RouteChanged:
+                await self._start_over(context, received_at)
         return self._transaction
 
+    async def _begin_at_target(self, context: StatementContext) -> TransactionHandle:
+        context.check_route()
+        transaction = await self._runner.begin(context, is_read_only=self._is_read_only)
+        try:
+            context.check_route()
+        except RouteChanged:
+            self._start_roll_back(transaction)
+            raise
+        return transaction
+
     def _create_context(
         self, request: StatementRequest, received_at: float
     ) -> StatementContext:
         route = self._route
         if route is None:
             raise SessionError(FailureCode.UNKNOWN_DATABASE, "the session has no route")
-        deadline = received_at + route.timeout_s
-        if self._admission.drain is not None:
-            deadline = min(deadline, self._admission.drain.answer_by)
         self._context = StatementContext(
             route=route,
             team=self._team,
             request_id=request.request_id,
             began_at=self._began_at,
-            deadline=deadline,
+            deadline=self._deadline(route, received_at),
             values=self._values,
             session_position=self._position,
             failed_attempts=self._failed_attempts,
+            is_route_current=self._is_route_current,
         )
         return self._context
 
+    def _update_context(self, context: StatementContext, received_at: float) -> None:
+        """Have a statement run by the route and team that were looked up last."""
+        route = self._route
+        if route is None or (context.route is route and context.team == self._team):
+            return
+        context.route, context.team = route, self._team
+        context.deadline = self._deadline(route, received_at)
+
+    def _deadline(self, route: Route, received_at: float) -> float:
+        deadline = received_at + route.timeout_s
+        if self._admission.drain is not None:
+            deadline = min(deadline, self._admission.drain.answer_by)
+        return deadline
+
     def _deallocate(self, statement: Statement) -> list[Answer]:
         if self._values.prepared_by_name.pop(statement.name, None) is None:
             raise SessionError(
@@ -363,12 +445,16 @@
     def _return_token(self) -> None:
         """Return the operation's rate token if no statement was sent to a target."""
         context = self._context
-        if not self._has_token or self._transaction is not None:
+        if self._transaction is not None:
             return
         if context is None or context.was_sent_to_target:
             return
-        self._has_token = False
-        self._admission.rates.return_token(self._team)
+        self._return_unused_token()
+
+    def _return_unused_token(self) -> None:
+        team, self._token_team = self._token_team, ""
+        if team:
+            self._admission.rates.return_token(team)
 
     def _completed(self) -> list[Answer]:
         return [Completed(), SessionReady(self.state)]
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
@@ -70,6 +70,17 @@
             team = ANONYMOUS_TEAM
         return route, team
 
+    def is_in_force(self, database: str, key: str, route: Route, team: str) -> bool:
+        """Return whether an operation may be sent to a target by a route and team.
+
+        Timeouts, objective and priority are those with which the operation began.
+        """
+        try:
+            current, current_team = self.look_up(database, key)
+        except SessionError:
+            return False
+        return current_team == team and current.runs_like(route)
+
     def is_withdrawn(self, key: str, database: str) -> bool:
         """Return whether a session's key or route is no longer in force."""
         try:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_context.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from guavabarrow_core.exceptions import SessionError
 from guavabarrow_daemon.operations.clock import now_s
 
 if TYPE_CHECKING:
-    from twisted.internet.defer import Deferred
+    from collections.abc import Callable
 
     from guavabarrow_core.log_position import LogPosition
     from guavabarrow_core.session_configuration import Route
@@ -22,6 +23,13 @@
 for the target, and for the caller to try another VM."""
 
 
+class RouteChanged(Exception):
+    """The route or team of an operation is not the one in force any more.
+
+    No write of the operation was sent, or none was run, so it may start over.
+    """
+
+
 @dataclass(slots=True)
 class StatementContext:
     """Context of one running statement, single or in a transaction.
@@ -29,7 +37,7 @@
     Parameters
     ----------
     route : Route
-        Route in force when the statement or its transaction began.
+        Route in force when the statement, or the transaction at its target, began.
     team : str
         Team that the statement runs for.
     request_id : str
@@ -46,6 +54,8 @@
         Target and failure code of each failed attempt, as TARGET:CODE.
     was_sent_to_target : bool
         Whether the caller's statement was sent to a target.
+    is_route_current : callable
+        Returns whether the route and team are those in force.
     """
 
     route: Route
@@ -57,6 +67,7 @@
     session_position: LogPosition | None = None
     failed_attempts: list[str] = field(default_factory=list)
     was_sent_to_target: bool = False
+    is_route_current: Callable[[], bool] = lambda: True
 
     @property
     def acquire_deadline(self) -> float:
@@ -68,17 +79,44 @@
         """Time until the deadline, in s."""
         return self.deadline - now_s()
 
-    def acquire(
+    def check_route(self) -> None:
+        """Check that the operation may be sent to a target by its route.
+
+        Raises
+        ------
+        RouteChanged
+            If its route or team changed or was withdrawn while it waited.
+        """
+        if not self.is_route_current():
+            raise RouteChanged
+
+    async def acquire(
         self, pool: SessionPool, *, in_transaction: bool = False
-    ) -> Deferred[SessionConnection]:
-        """Acquire a connection for the statement, or for its whole transaction."""
-        return pool.acquire(
-            self.team,
-            priority=self.route.priority,
-            deadline=self.acquire_deadline,
-            objective_s=self.route.objective_s,
-            in_transaction=in_transaction,
-        )
+    ) -> SessionConnection:
+        """Acquire a connection for the statement, or for its whole transaction.
+
+        Raises
+        ------
+        SessionError
+            If none became free in time.
+        RouteChanged
+            If the route or team changed or was withdrawn meanwhile.
+        """
+        try:
+            connection = await pool.acquire(
+                self.team,
+                priority=self.route.priority,
+                deadline=self.acquire_deadline,
+                objective_s=self.route.objective_s,
+                in_transaction=in_transaction,
+            )
+        except SessionError:
+            self.check_route()
+            raise
+        if not self.is_route_current():
+            pool.release(connection)
+            raise RouteChanged
+        return connection
 
 
 class TransactionHandle(ABC):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_runner.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/statement_runner.py
@@ -32,6 +32,8 @@
         ------
         SessionError
             If no target could run it.
+        RouteChanged
+            If the route or team changed or was withdrawn before an attempt.
         """
 
     @abstractmethod
@@ -47,6 +49,8 @@
         ------
         SessionError
             If the write wasn't run, or its outcome is unknown.
+        RouteChanged
+            If it wasn't run and the route or team changed or was withdrawn.
         """
 
     @abstractmethod
@@ -59,6 +63,8 @@
         ------
         SessionError
             If none could be opened; nothing was run.
+        RouteChanged
+            If none was opened and the route or team changed or was withdrawn.
         """
 
     @abstractmethod
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_chooser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.defer import TimeoutError
@@ -83,6 +84,9 @@
         ------
         SessionError
             If no target can be used.
+        RouteChanged
+            If the route or team changed or was withdrawn while no primary could be
+            used.
         """
         now = now_s()
         candidates = self.explain_read(context, failed, now, may_probe=may_probe)
@@ -244,6 +248,8 @@
         ------
         SessionError
             If no primary can be used, or no connection became free in time.
+        RouteChanged
+            If the route or team changed or was withdrawn meanwhile.
         """
         service = context.route.service
         while True:
@@ -276,7 +282,6 @@
                 )
             changed = self._primary_service.when_changed(service)
             changed.addTimeout(remaining_s, self._reactor)
-            try:
+            with suppress(TimeoutError):
                 await changed
-            except TimeoutError:
-                continue
+            context.check_route()
--- a/packages/guavabarrow-daemon/tests/sim_hosts.py
+++ b/packages/guavabarrow-daemon/tests/sim_hosts.py
@@ -140,6 +140,7 @@
         self.rates = self
         self.tokens = 0
         self.drain = None
+        self.configuration = None
 
     async def admit(self, team, *, objective_s):
         self.tokens += 1
