Keep the position of a session's last commit by service

A session kept one log position. After its route had moved to another service, reads of a read_your_writes route asked that service's replicas for a position of the former service's log: they answered LAGGING for long, or had the position by chance. After a move and back, a later position of the other log could hide that of the session's own commit.

The position is now kept by service. Both new tests failed before: the read after the move had position 3.7 of the other log.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -89,7 +89,7 @@
         self.state = TransactionState.IDLE
         self.last_active_at = now_s()
         self._values = SessionValues()
-        self._position: LogPosition | None = None
+        self._position_by_service: dict[str, LogPosition] = {}
         self._route: Route | None = None
         self._team = ""
         self._configuration: SessionConfiguration | None = None
@@ -308,7 +308,8 @@
         self._token_team = ""
         if reply.failure is None:
             self.state = TransactionState.IDLE
-            self._record_position(transaction.at_primary, reply)
+            if transaction.at_primary:
+                self._record_position(context, reply)
             return self._answer_completed(request, reply, received_at)
         # COMMIT failed: the target rolled the transaction back.
         self.state = TransactionState.IDLE
@@ -343,7 +344,7 @@
         self._update_context(context, received_at)
         reply = await self._run_single(context, statement, shape, writes, received_at)
         if writes:
-            self._record_position(True, reply)
+            self._record_position(context, reply)
         self._token_team = ""
         return self._answer_completed(request, reply, received_at)
 
@@ -395,7 +396,7 @@
             began_at=self._began_at,
             deadline=self._deadline(route, received_at),
             values=self._values,
-            session_position=self._position,
+            session_position=self._position_by_service.get(route.service),
             failed_attempts=self._failed_attempts,
             is_route_current=self._is_route_current,
         )
@@ -408,6 +409,7 @@
             return
         context.route, context.team = route, self._team
         context.deadline = self._deadline(route, received_at)
+        context.session_position = self._position_by_service.get(route.service)
 
     def _deadline(self, route: Route, received_at: float) -> float:
         deadline = received_at + route.timeout_s
@@ -435,12 +437,14 @@
             FailureCode.MALFORMED, "the transaction has failed; roll it back first"
         )
 
-    def _record_position(self, at_primary: bool, reply: Reply) -> None:
-        position = reply.ready.position
-        if not at_primary or position is None:
+    def _record_position(self, context: StatementContext, reply: Reply) -> None:
+        """Record how far the log of the service must be read from now on."""
+        service, position = context.route.service, reply.ready.position
+        if position is None:
             return
-        if self._position is None or position > self._position:
-            self._position = position
+        known = self._position_by_service.get(service)
+        if known is None or position > known:
+            self._position_by_service[service] = position
 
     def _return_token(self) -> None:
         """Return the operation's rate token if no statement was sent to a target."""
--- a/packages/guavabarrow-daemon/tests/test_route_in_force.py
+++ b/packages/guavabarrow-daemon/tests/test_route_in_force.py
@@ -10,6 +10,7 @@
 import pytest
 from sim_routes import RoutedVm, Sent, configuration
 
+from guavabarrow_core.log_position import LogPosition
 from guavabarrow_core.session_configuration import Consistency, SessionConfiguration
 from guavabarrow_core.session_messages import FailureCode, TransactionState
 from guavabarrow_daemon.front.session_router import OVERLOADED_PAUSE_S
@@ -266,3 +267,32 @@
     assert vm.exchange.sent == []
     vm.pool("orders-0").serve()
     assert outcomes == ["completed"]
+
+
+def test_a_position_counts_for_the_service_whose_log_it_is_of():
+    """Failure: after a route moved, reads awaited a position of another service's log.
+
+    No replica has such a position, or one that lacks the session's commits has it.
+    """
+    vm = RoutedVm(Consistency.READ_YOUR_WRITES)
+    vm.send("WRITE x 1")
+    committed = LogPosition(3, 7)
+    before = vm.fleet.configuration
+    vm.send("READ x")
+    assert vm.exchange.sent[-1].position == committed
+    moved = configuration("stock", consistency=Consistency.READ_YOUR_WRITES)
+    vm.fleet.configuration = moved
+    vm.send("READ x")
+    assert vm.exchange.sent[-1].position is None
+    vm.fleet.configuration = before
+    vm.send("READ x")
+    assert vm.exchange.sent[-1].position == committed
+
+
+def test_a_read_that_waited_has_the_position_of_its_new_service():
+    """Failure: the same, where the route moved while the read waited."""
+    vm = RoutedVm(Consistency.READ_YOUR_WRITES)
+    vm.send("WRITE x 1")
+    moved = configuration("stock", consistency=Consistency.READ_YOUR_WRITES)
+    assert run_while_changing(vm, "READ x", QueueWait(), moved) == ["completed"]
+    assert vm.exchange.sent[-1] == Sent("stock", "a", "READ x", None)
