Check hosted statements that waited while the configuration changed

A host ran a statement by the route that it was handed over with, however long it waited there for a connection or a primary. A read that lost its host was handed to the next one by its old route too.

The caller's VM decides, and its key is never sent. A host that has put another configuration in force while a statement waited, and sees that a route to the service or a key of the team was changed or withdrawn, answers that the statement was not run and is to be decided on again. The caller's VM then looks the route and the key up and starts over: locally, at the host, or with a refusal. The answer is a refusal with one optional field, so older versions pass on an overload, which promises that nothing was kept. The caller's VM also checks the route before each hand-over.

Added routes, added keys, time-outs and other services' routes send no statement back. A host that had a newer configuration than the caller's VM when the statement arrived runs it, as before.

--- a/packages/guavabarrow-core/src/guavabarrow_core/session_configuration.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/session_configuration.py
@@ -107,6 +107,33 @@
     idle_transaction_s: float = 3.0
     max_message_bytes: int = 262144
 
+    def may_concern(
+        self, earlier: SessionConfiguration, service: str, team: str
+    ) -> bool:
+        """Return whether an operation may run otherwise than by an earlier version.
+
+        Parameters
+        ----------
+        earlier : SessionConfiguration
+            Version by which the operation began.
+        service, team : str
+            Service and team of the operation, whose route and key are not known.
+
+        Returns
+        -------
+        bool
+            Whether a route to the service was changed or withdrawn, or a key of the
+            team was; for a team without keys, whether a key was added.
+        """
+        for database, route in earlier.route_by_database.items():
+            current = self.route_by_database.get(database)
+            if route.service == service and not (current and current.runs_like(route)):
+                return True
+        keys = {key for key, name in earlier.team_by_key.items() if name == team}
+        if not keys:
+            return bool(self.team_by_key.keys() - earlier.team_by_key.keys())
+        return any(self.team_by_key.get(key) != team for key in keys)
+
     def rates(self) -> dict[str, RateLimit]:
         """Return the rate limits of all teams that have one, keyed by team."""
         return {
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/hosted_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/hosted_messages.py
@@ -136,6 +136,7 @@
         "has_ended": "e",
         "failed_attempts": "t",
         "was_sent_to_target": "w",
+        "is_superseded": "u",
     },
 ):
     """Answer to :class:`HostedStatement`.
@@ -168,6 +169,10 @@
         Target and failure code of each failed attempt.
     was_sent_to_target : bool
         Whether the caller's statement was sent to a target.
+    is_superseded : bool
+        Whether it was not run because the configuration changed while it waited, and
+        the sender, which knows its route and key, must decide. Older versions take
+        the answer for a refusal.
     """
 
     number: int
@@ -183,6 +188,7 @@
     has_ended: bool = False
     failed_attempts: tuple[str, ...] = ()
     was_sent_to_target: bool = False
+    is_superseded: bool = False
 
 
 class HostPing(msgspec.Struct, frozen=True, tag="ping"):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/hosted_codec.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/hosted_codec.py
@@ -22,10 +22,12 @@
     HostedReply,
     HostedStatement,
 )
-from guavabarrow_daemon.front.statement_context import StatementContext
+from guavabarrow_daemon.front.statement_context import RouteChanged, StatementContext
 from guavabarrow_daemon.operations.clock import now_s
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavabarrow_daemon.front.statement_context import TransactionHandle
 
 HANDOVER_MARGIN_S = 0.05
@@ -89,7 +91,11 @@
 
 
 def create_context(
-    message: HostedStatement, *, arrived_at: float, deadline: float
+    message: HostedStatement,
+    *,
+    arrived_at: float,
+    deadline: float,
+    is_route_current: Callable[[], bool] = lambda: True,
 ) -> StatementContext:
     """Return the context of a statement at its host.
 
@@ -102,6 +108,8 @@
         the caller's first byte, so what was fresh enough for it is for the caller.
     deadline : float
         Local time at which it times out, in s.
+    is_route_current : callable
+        Returns whether its route and team can be relied on to be those in force.
     """
     route = Route(
         database="",
@@ -121,6 +129,7 @@
         deadline=deadline,
         values=SessionValues(by_name=message.values),
         session_position=None if position is None else LogPosition(*position),
+        is_route_current=is_route_current,
     )
 
 
@@ -164,6 +173,20 @@
     )
 
 
+def encode_superseded(number: int, context: StatementContext) -> HostedReply:
+    """Return the message for a statement that its sender must decide on again."""
+    return HostedReply(
+        number,
+        code=FailureCode.OVERLOADED,
+        detail="Its route or key may have changed while it waited.",
+        is_refusal=True,
+        has_ended=True,
+        failed_attempts=tuple(context.failed_attempts),
+        was_sent_to_target=context.was_sent_to_target,
+        is_superseded=True,
+    )
+
+
 def decode_reply(message: HostedReply) -> Reply:
     """Return the reply that a host passes on.
 
@@ -171,7 +194,11 @@
     ------
     SessionError
         If the host could not run the statement, as it would if this VM had tried.
+    RouteChanged
+        If the configuration changed while the statement waited at the host.
     """
+    if message.is_superseded:
+        raise RouteChanged
     if message.is_refusal:
         raise SessionError(
             message.code or FailureCode.FAILED,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/hosted_runner.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/hosted_runner.py
@@ -193,6 +193,14 @@
             self._exchange.roll_back(transaction)
 
     def _choose_host(self, context: StatementContext) -> str:
+        """Return the host of a statement's service, empty to run it here.
+
+        Raises
+        ------
+        RouteChanged
+            If its route or team changed or was withdrawn during an earlier attempt.
+        """
+        context.check_route()
         if context.remaining_s <= HANDOVER_MARGIN_S:
             return ""
         return self._hosts.host_of(context.route.service)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/service_host_service.py
@@ -23,15 +23,19 @@
     decode_statement,
     encode_refusal,
     encode_reply,
+    encode_superseded,
 )
 from guavabarrow_daemon.front.hosted_origin import HostedWork, Origin
 from guavabarrow_daemon.front.session_router import SessionRouter
+from guavabarrow_daemon.front.statement_context import RouteChanged
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavabarrow_core.drain_schedule import DrainSchedule
     from guavabarrow_core.session_messages import Statement
     from guavabarrow_core.session_values import PreparedShape
@@ -199,12 +203,19 @@
         deadline = now + message.remaining_s - excess_s
         if self.drain_schedule is not None:
             deadline = min(deadline, self.drain_schedule.answer_by)
-        context = create_context(message, arrived_at=now, deadline=deadline)
+        context = create_context(
+            message,
+            arrived_at=now,
+            deadline=deadline,
+            is_route_current=self._create_route_check(message),
+        )
         origin.running_by_service[message.service] += 1
         try:
             answer = await self._answer(origin, message, context)
         except SessionError as error:
             answer = encode_refusal(message.number, error, context)
+        except RouteChanged:
+            answer = encode_superseded(message.number, context)
         except Exception as error:
             log_decision(
                 "hosted_statement_failed_internally",
@@ -222,6 +233,25 @@
         if not origin.has_left:
             self._links.send(origin.vm, answer)
 
+    def _create_route_check(self, message: HostedStatement) -> Callable[[], bool]:
+        """Return what tells whether a change may concern a statement that waits here.
+
+        Only its sender knows the key and decides.
+        """
+        arrived_with = self._fleet.configuration
+
+        def is_route_current() -> bool:
+            configuration = self._fleet.configuration
+            if configuration is arrived_with:
+                return True
+            if configuration is None or arrived_with is None:
+                return True
+            return not configuration.may_concern(
+                arrived_with, message.service, message.team
+            )
+
+        return is_route_current
+
     async def _answer(
         self, origin: Origin, message: HostedStatement, context: StatementContext
     ) -> HostedReply:
--- a/packages/guavabarrow-daemon/tests/sim_hosts.py
+++ b/packages/guavabarrow-daemon/tests/sim_hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
+from typing import TYPE_CHECKING
 
 from sim_fleet import SimFleet, SimVm
 from sim_platform import SERVICE
@@ -25,7 +26,7 @@
 )
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.fleet.service_hosts import ServiceHosts
-from guavabarrow_daemon.front.caller_session import CallerSession
+from guavabarrow_daemon.front.caller_session import CallerSession, SessionTerminated
 from guavabarrow_daemon.front.host_exchange import HostExchange
 from guavabarrow_daemon.front.hosted_runner import HostedRunner
 from guavabarrow_daemon.front.service_host_service import ServiceHostService
@@ -34,6 +35,9 @@
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 
+if TYPE_CHECKING:
+    from guavabarrow_daemon.targets.session_pool import SessionPool
+
 TIMEOUT_S = 2.0
 KIND_BY_WORD = {
     "BEGIN": StatementKind.BEGIN,
@@ -62,6 +66,8 @@
         Time that each statement takes.
     refusal : Exception or None
         Raised instead of running statements.
+    pool : SessionPool or None
+        Pool that statements and transactions wait for a connection of.
     waits : bool
         Whether statements wait for a connection until their deadlines and are refused.
     row : str
@@ -78,15 +84,21 @@
         self.delay_s = 0.01
         self.refusal: Exception | None = None
         self.waits = False
+        self.pool: SessionPool | None = None
         self.row = "row"
 
     async def run_read(self, context, statement, shape):
-        await self._run(context, statement, shape)
+        await self._acquire(context)
+        try:
+            await self._run(context, statement, shape)
+        finally:
+            self._release()
         return self._completed(TransactionState.IDLE)
 
     run_write = run_read
 
     async def begin(self, context, *, is_read_only):
+        await self._acquire(context)
         await deferLater(self._reactor, self.delay_s, lambda: None)
         self.open_count += 1
         pool = SimpleNamespace(entry=SimpleNamespace(target_id="t"))
@@ -115,6 +127,15 @@
         if not transaction.has_ended:
             transaction.has_ended = True
             self.open_count -= 1
+            self._release()
+
+    async def _acquire(self, context) -> None:
+        if self.pool is not None:
+            await context.acquire(self.pool)
+
+    def _release(self) -> None:
+        if self.pool is not None:
+            self.pool.release(None)
 
     async def _run(self, context, statement, shape) -> None:
         if self.refusal is not None:
@@ -134,13 +155,29 @@
 
 
 class FakeAdmission:
-    """Admits everything and counts the tokens."""
+    """Admits everything and counts the tokens.
+
+    Attributes
+    ----------
+    configuration : object
+        Configuration in force; another object after each change.
+    route : Route or None
+        The only route, None once it was withdrawn.
+    """
 
     def __init__(self) -> None:
+        self.route: Route | None = Route(
+            "db", SERVICE, Consistency.READ_YOUR_WRITES, timeout_s=TIMEOUT_S
+        )
         self.rates = self
         self.tokens = 0
         self.drain = None
-        self.configuration = None
+        self.configuration = object()
+
+    def change(self, route: Route | None) -> None:
+        """Put a configuration with another route in force."""
+        self.route = route
+        self.configuration = object()
 
     async def admit(self, team, *, objective_s):
         self.tokens += 1
@@ -149,9 +186,12 @@
         self.tokens -= 1
 
     def look_up(self, database, key):
-        return Route(
-            database, SERVICE, Consistency.READ_YOUR_WRITES, timeout_s=TIMEOUT_S
-        ), "team"
+        if self.route is None:
+            raise SessionError(FailureCode.UNKNOWN_DATABASE, "unknown database")
+        return self.route, "team"
+
+    def is_in_force(self, database, key, route, team):
+        return self.route is not None and self.route.runs_like(route)
 
     def is_withdrawn(self, key, database):
         return False
@@ -182,8 +222,12 @@
             answers.extend(result)
             self.answered_at.append(now_s())
 
+        def on_terminated(failure):
+            failure.trap(SessionTerminated)
+            on_answer(failure.value.answers)
+
         running = self.session.handle(StatementRequest("id", statement))
-        Deferred.fromCoroutine(running).addCallback(on_answer)
+        Deferred.fromCoroutine(running).addCallbacks(on_answer, on_terminated)
         return answers
 
 
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -8,7 +8,11 @@
 from twisted.internet.task import deferLater
 
 from guavabarrow_core.log_position import LogPosition
-from guavabarrow_core.session_configuration import ServiceLimits, SessionConfiguration
+from guavabarrow_core.session_configuration import (
+    Route,
+    ServiceLimits,
+    SessionConfiguration,
+)
 from guavabarrow_core.session_messages import TargetStatus
 from guavabarrow_core.target_directory import TargetEntry
 from guavabarrow_daemon.store.exceptions import HistoryDropped, StoreUnavailable
@@ -60,6 +64,8 @@
         Changes up to this version are dropped from the history.
     team_by_key : dict of str to str
         Teams of the configurations in this table.
+    route_by_database : dict of str to Route
+        Routes of the configurations in this table.
     sync_replicas : int
         Synchronous replicas of the service in the configurations in this table.
     """
@@ -74,6 +80,7 @@
         self.extra_latency_s = 0.0
         self.compacted_version = 0
         self.team_by_key: dict[str, str] = {}
+        self.route_by_database: dict[str, Route] = {}
         self.sync_replicas = 0
 
     def is_reachable_from(self, host: str) -> bool:
@@ -195,6 +202,7 @@
             max(versions),
             limits_by_service=limits,
             team_by_key=self._store.team_by_key,
+            route_by_database=self._store.route_by_database,
         )
         return OperatorOrders(configuration, frozenset())
 
