Test a key that is withdrawn while a statement waits, on processes

One VM, one connection, and a statement in the pool's queue when the version without its key takes effect.

--- a/tests/platform_adapter/test_session_vm.py
+++ b/tests/platform_adapter/test_session_vm.py
@@ -243,6 +243,31 @@
     )
 
 
+def test_a_statement_that_waits_for_a_connection_is_refused_once_its_key_is_withdrawn(
+    deployment,
+):
+    """Failure: it left the queue later and ran with the key that had been withdrawn."""
+    deployment.configure(max_connections=1)
+    vm = deployment.start_vm("vm-1")
+    running, waiting = (Caller(vm.front, "primary") for _ in range(2))
+    with deployment.group.lock:
+        running.send_line("QUERY q-1 WRITE a running")
+        time.sleep(0.1)
+        waiting.send_line("QUERY q-2 WRITE a waiting")
+        deployment.configure(keys=("another-key",), max_connections=1)
+        version = deployment.version
+        wait_for(
+            lambda: vm.events("configuration_in_force")[-1]["version"] == version,
+            "the withdrawal takes effect",
+        )
+    assert running.read_line().startswith("COMPLETE")
+    assert waiting.read_line().startswith("ERROR NOAUTH")
+    assert waiting.read_line() == ""
+    assert [s.text for s in deployment.group.ran if s.text.startswith("WRITE a")] == [
+        "WRITE a running"
+    ]
+
+
 def test_a_signal_to_stop_lets_a_transaction_end(deployment):
     vm = deployment.start_vm("vm-1")
     caller = Caller(vm.front, "primary")
