--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -249,6 +249,17 @@
     async def _start_over(self, context: StatementContext, received_at: float) -> None:
         """Prepare an operation whose route or team changed while it waited."""
         self._look_up()
+        log_decision(
+            "operation_started_over",
+            request=context.request_id,
+            database=self.database,
+            service=self._route.service if self._route is not None else "",
+            former_service=context.route.service,
+            team=self._team,
+            former_team=context.team,
+            waited_ms=round((now_s() - received_at) * 1000, 1),
+            configuration=self._configuration.version if self._configuration else 0,
+        )
         if self._team != self._token_team:
             self._return_token()
             self._token_team = ""
@@ -342,26 +353,17 @@
             return self._answer_completed(request, reply, received_at)
         await self._admit()
         self._update_context(context, received_at)
-        reply = await self._run_single(context, statement, shape, writes, received_at)
-        if writes:
-            self._record_position(context, reply)
-        self._token_team = ""
-        return self._answer_completed(request, reply, received_at)
-
-    async def _run_single(
-        self,
-        context: StatementContext,
-        statement: Statement,
-        shape: PreparedShape | None,
-        writes: bool,
-        received_at: float,
-    ) -> Reply:
         run = self._runner.run_write if writes else self._runner.run_read
         while True:
             try:
-                return await run(context, statement, shape)
+                reply = await run(context, statement, shape)
+                break
             except RouteChanged:
                 await self._start_over(context, received_at)
+        if writes:
+            self._record_position(context, reply)
+        self._token_team = ""
+        return self._answer_completed(request, reply, received_at)
 
     async def _ensure_transaction(
         self, context: StatementContext, received_at: float
--- a/packages/guavabarrow-daemon/tests/sim_hosts.py
+++ b/packages/guavabarrow-daemon/tests/sim_hosts.py
@@ -12,7 +12,11 @@
 
 from guavabarrow_core.exceptions import SessionError
 from guavabarrow_core.log_position import LogPosition
-from guavabarrow_core.session_configuration import Consistency, Route
+from guavabarrow_core.session_configuration import (
+    Consistency,
+    Route,
+    SessionConfiguration,
+)
 from guavabarrow_core.session_messages import (
     Completed,
     FailureCode,
@@ -159,8 +163,8 @@
 
     Attributes
     ----------
-    configuration : object
-        Configuration in force; another object after each change.
+    configuration : SessionConfiguration
+        Configuration in force.
     route : Route or None
         The only route, None once it was withdrawn.
     """
@@ -172,12 +176,12 @@
         self.rates = self
         self.tokens = 0
         self.drain = None
-        self.configuration = object()
+        self.configuration = SessionConfiguration(1)
 
     def change(self, route: Route | None) -> None:
         """Put a configuration with another route in force."""
         self.route = route
-        self.configuration = object()
+        self.configuration = SessionConfiguration(self.configuration.version + 1)
 
     async def admit(self, team, *, objective_s):
         self.tokens += 1
--- a/packages/guavabarrow-daemon/tests/test_route_in_force.py
+++ b/packages/guavabarrow-daemon/tests/test_route_in_force.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import pytest
-from sim_routes import RoutedVm, Sent, configuration
+from sim_routes import DATABASE, RoutedVm, Sent, configuration
 
 from guavabarrow_core.log_position import LogPosition
 from guavabarrow_core.session_configuration import Consistency, SessionConfiguration
 from guavabarrow_core.session_messages import FailureCode, TransactionState
+from guavabarrow_daemon.front import caller_session
 from guavabarrow_daemon.front.session_router import OVERLOADED_PAUSE_S
 
 
@@ -296,3 +297,29 @@
     moved = configuration("stock", consistency=Consistency.READ_YOUR_WRITES)
     assert run_while_changing(vm, "READ x", QueueWait(), moved) == ["completed"]
     assert vm.exchange.sent[-1] == Sent("stock", "a", "READ x", None)
+
+
+def test_an_operation_that_starts_over_is_logged_without_its_key(monkeypatch):
+    """Operators must see by which version a statement that had waited ran."""
+    lines = []
+    monkeypatch.setattr(
+        caller_session,
+        "log_decision",
+        lambda event, **fields: lines.append((event, fields)),
+    )
+    vm = RoutedVm()
+    run_while_changing(vm, "READ x", QueueWait(), configuration("stock", "b"))
+    ((event, fields),) = lines
+    assert fields.pop("waited_ms") >= 0.0
+    assert (event, fields) == (
+        "operation_started_over",
+        {
+            "request": "id",
+            "database": DATABASE,
+            "service": "stock",
+            "former_service": "orders",
+            "team": "b",
+            "former_team": "a",
+            "configuration": 2,
+        },
+    )
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -26,6 +26,18 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "session_configuration",
+        "return (self.service, self.consistency, self.max_age_s) == (",
+        "return (self.service, other.consistency, self.max_age_s) == (",
+        "test_session_configuration",
+    ),
+    Mutation(
+        "session_configuration",
+        "return any(self.team_by_key.get(key) != team for key in keys)",
+        "return all(self.team_by_key.get(key) != team for key in keys)",
+        "test_session_configuration",
+    ),
     Mutation(
         "group_view",
         "return None if len(fenced) >= self.majority else newest",
