Test a key that is withdrawn while statements wait at a host, on processes

Three VMs, twelve writes by way of the host, and a version without their key while the targets answer nothing.

--- a/tests/platform_adapter/test_hosted_service.py
+++ b/tests/platform_adapter/test_hosted_service.py
@@ -74,6 +74,36 @@
     assert f"{host.name} (this VM)" in capsys.readouterr().out
 
 
+def test_statements_that_wait_at_the_host_are_refused_once_their_key_is_withdrawn(
+    fleet,
+):
+    """Failure: the host ran them later with the key that had been withdrawn."""
+    fleet.configure(max_connections=SCARCE_CONNECTIONS, timeout_ms=10_000)
+    host = find_host(fleet)
+    other = next(vm for vm in fleet.vms if vm is not host)
+    callers = [Caller(other.front, "primary") for _ in range(12)]
+    with fleet.group.lock:
+        for number, caller in enumerate(callers):
+            caller.send_line(f"QUERY q-{number} WRITE a {number}")
+        time.sleep(0.1)
+        fleet.configure(
+            ("another-key",), max_connections=SCARCE_CONNECTIONS, timeout_ms=10_000
+        )
+        for vm in fleet.vms:
+            wait_for(
+                lambda vm=vm: (
+                    vm.events("configuration_in_force")[-1]["version"] == fleet.version
+                ),
+                "the withdrawal takes effect",
+            )
+    replies = [caller.read_line() for caller in callers]
+    ran = {s.text for s in fleet.group.ran if s.text.startswith("WRITE a ")}
+    assert 0 < len(ran) < len(callers)
+    for number, reply in enumerate(replies):
+        has_run = f"WRITE a {number}" in ran
+        assert reply.startswith("COMPLETE" if has_run else "ERROR NOAUTH")
+
+
 def test_sessions_of_all_vms_share_the_connections_of_the_host(fleet):
     """Load: each VM opened connections of its own until the target refused them."""
     host = find_host(fleet)
