Refuse for lack of a token only for the team in force

An operation that waited for a token in vain was refused as above its team's rate also if its key had been withdrawn meanwhile, or belonged to another team by then. It now gets the refusal of a new statement, or a token of the other team. If only the route changed, the team's refusal stands.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -281,7 +281,15 @@
         while self._token_team != self._team:
             team, route = self._team, self._route
             objective_s = route.objective_s if route is not None else 0.0
-            await self._admission.rates.admit(team, objective_s=objective_s)
+            try:
+                await self._admission.rates.admit(team, objective_s=objective_s)
+            except SessionError:
+                if self._is_route_current():
+                    raise
+                self._look_up()
+                if self._team == team:
+                    raise
+                continue
             self._token_team = team
             if self._is_route_current():
                 return
--- a/packages/guavabarrow-daemon/tests/sim_routes.py
+++ b/packages/guavabarrow-daemon/tests/sim_routes.py
@@ -86,6 +86,13 @@
     def return_token(self, team: str) -> None:
         self.tokens_by_team[team] -= 1
 
+    def refuse(self) -> None:
+        """Refuse the waiting operations, as above the rate of their team."""
+        self.is_held = False
+        waiting, self.waiting = self.waiting, []
+        for waiter in waiting:
+            waiter.errback(SessionError(FailureCode.OVERLOADED, "above its rate"))
+
     def release(self) -> None:
         self.is_held = False
         waiting, self.waiting = self.waiting, []
--- a/packages/guavabarrow-daemon/tests/test_route_in_force.py
+++ b/packages/guavabarrow-daemon/tests/test_route_in_force.py
@@ -43,6 +43,11 @@
         vm.rates.release()
 
 
+class RefusedTokenWait(TokenWait):
+    def release(self, vm):
+        vm.rates.refuse()
+
+
 class QueueWait(Wait):
     def hold(self, vm):
         for target_id in ("orders-0", "orders-1"):
@@ -95,7 +100,12 @@
     *(
         (text, wait)
         for text in ("READ x", "WRITE x 1")
-        for wait in (TokenWait(), QueueWait(), RefusedQueueWait(), PromotionWait())
+        for wait in (
+            TokenWait(),
+            QueueWait(),
+            RefusedQueueWait(),
+            PromotionWait(),
+        )
     ),
     ("WRITE x 1", RetryPause()),
 ]
@@ -205,6 +215,27 @@
     assert vm.held_resources() == (0, {})
 
 
+@pytest.mark.parametrize("text", ["READ x", "WRITE x 1", "BEGIN"])
+@pytest.mark.parametrize(
+    ("changed", "outcome", "tokens"),
+    [
+        (configuration(team=""), "closed: unauthorized", {}),
+        (configuration(service=""), "closed: unknown_database", {}),
+        (configuration(team="b"), "completed", {"b": 1}),
+        (configuration("stock"), "overloaded", {}),
+        (configuration(timeout_s=1.0), "overloaded", {}),
+    ],
+    ids=("key", "route", "team", "service", "timeout"),
+)
+def test_a_refusal_for_lack_of_a_token_is_one_of_the_team_in_force(
+    text, changed, outcome, tokens
+):
+    vm = RoutedVm()
+    outcomes = run_while_changing(vm, text, RefusedTokenWait(), changed)
+    assert outcomes == [outcome]
+    assert vm.held_resources() == (0, tokens)
+
+
 def test_a_transaction_takes_the_route_in_force_at_its_first_statement():
     """Failure: BEGIN was answered here, and its route changed before it was used."""
     vm = RoutedVm()
