--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -10,7 +10,11 @@
 
 from guavabarrow_core.log_position import LogPosition
 from guavabarrow_core.operator_rows import TableRow
-from guavabarrow_core.session_configuration import ServiceLimits, SessionConfiguration
+from guavabarrow_core.session_configuration import (
+    Route,
+    ServiceLimits,
+    SessionConfiguration,
+)
 from guavabarrow_core.session_messages import TargetStatus
 from guavabarrow_core.target_directory import TargetEntry
 from guavabarrow_daemon.decoding import UndecodableValue
@@ -71,6 +75,8 @@
         Delay of the answers to a host's watches, in s.
     team_by_key : dict of str to str
         Teams of the configurations in this table.
+    route_by_database : dict of str to Route
+        Routes of the configurations in this table.
     sync_replicas : int
         Synchronous replicas of the service in the configurations in this table.
     """
@@ -88,6 +94,7 @@
         self.silent_watches_from: set[str] = set()
         self.watch_delay_s_by_host: dict[str, float] = {}
         self.team_by_key: dict[str, str] = {}
+        self.route_by_database: dict[str, Route] = {}
         self.sync_replicas = 0
 
     def is_reachable_from(self, host: str) -> bool:
@@ -226,6 +233,7 @@
             row.version,
             limits_by_service=limits,
             team_by_key=self._store.team_by_key,
+            route_by_database=self._store.route_by_database,
         )
 
 
