Check a statement that waited during a suspension against confirmed orders

Callers: a statement that was waiting for a connection when its VM was suspended ran for a key that had been withdrawn meanwhile.

Cause: the connection that it waited for can become free before the withdrawal is read; the configuration object is then still the same, so the check of its route passed.

Change: while the orders are unconfirmed no route counts as current; the operation waits for the confirmation and looks its route up again.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -235,7 +235,12 @@
         self._configuration = configuration
 
     def _is_route_current(self) -> bool:
-        """Return whether the operation's route and team are those in force."""
+        """Return whether the operation's route and team are those in force.
+
+        After a suspension that isn't known until the orders are confirmed.
+        """
+        if not self._admission.has_confirmed_orders():
+            return False
         configuration = self._admission.configuration
         if configuration is self._configuration:
             return True
@@ -249,6 +254,7 @@
 
     async def _start_over(self, context: StatementContext, received_at: float) -> None:
         """Prepare an operation whose route or team changed while it waited."""
+        await self._admission.wait_for_orders()
         self._look_up()
         log_decision(
             "operation_started_over",
--- a/tests/platform_adapter/test_current_orders.py
+++ b/tests/platform_adapter/test_current_orders.py
@@ -35,6 +35,36 @@
     assert len(deployment.group.ran) == ran
 
 
+def test_a_statement_that_waited_during_a_suspension_is_checked_again(deployment):
+    """A connection became free before the withdrawal of the key was read."""
+    frozen = deployment.start_vm("vm-1")
+    deployment.configure(max_connections=1, timeout_ms=20_000)
+    wait_for(
+        lambda: any(
+            line["version"] == deployment.version
+            for line in frozen.events("configuration_in_force")
+        ),
+        "the new limits are in force",
+    )
+    callers = [Caller(frozen.front, "primary") for _ in range(6)]
+    deployment.group.work_s = 1.0
+    for number, caller in enumerate(callers):
+        caller.send_line(f"QUERY slow-{number} READ a{number}")
+    time.sleep(0.3)
+    frozen.process.send_signal(signal.SIGSTOP)
+    time.sleep(0.2)
+    ran = {statement.request_id for statement in deployment.group.ran}
+    try:
+        deployment.configure(keys=("another key",), max_connections=1)
+        time.sleep(FROZEN_S)
+        ran |= {statement.request_id for statement in deployment.group.ran}
+    finally:
+        frozen.process.send_signal(signal.SIGCONT)
+    for caller in callers:
+        caller.read_line()
+    assert {statement.request_id for statement in deployment.group.ran} == ran
+
+
 def test_a_resumed_vm_opens_no_session_by_a_configuration_from_before(deployment):
     """A route that was added meanwhile was refused as unknown."""
     frozen = deployment.start_vm("vm-1")
