Bound the limit that hosts divide among each other

One entry with a Capacity of 2^63 - 1 stopped a host of the service that used this target: its processor stayed busy, and it answered neither callers nor peers.

Cause: the registered slots were the initial limit of the target without an upper bound. Hosts divide the limit one statement at a time, so the next heartbeat was never sent. The limit in a peer's heartbeat was divided in the same way; infinite figures raised ValueError in the handler of the message.

The initial limit has the same upper bound as every later one, and the figures of a peer's digest are bounded where they are received, since a peer may run an older version.

Before: test_a_registration_with_a_giant_capacity_stops_no_host and test_a_limit_that_no_target_has_stops_no_peer[2^63] ended only when they were stopped after 40 s, [inf] failed with ValueError; NaN and -1 passed.

--- a/packages/guavabarrow-core/src/guavabarrow_core/pace_share.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/pace_share.py
@@ -13,6 +13,7 @@
 from math import ceil
 
 from guavabarrow_core.rendezvous import rank_members
+from guavabarrow_core.target_pace import MAX_LIMIT
 
 MAX_DIGEST_AGE_S = 2.0
 """Age at which a peer's digest is dropped: its heartbeats come every 0.7 s."""
@@ -22,6 +23,9 @@
 part at once."""
 
 
+MAX_STATEMENTS = 1e6
+"""Upper bound of the statements in a peer's digest."""
+
 FOLLOW_FRACTION = 0.5
 """Part of the distance to the joint limit by which a host's own limit moves at each
 digest: hosts with few statements learn from the others."""
@@ -45,6 +49,20 @@
     running: float
     limit: float
 
+    def bounded(self) -> PaceDigest:
+        """Return the digest with finite figures, as limits are divided one by one.
+
+        Examples
+        --------
+        >>> PaceDigest(1.0, float("nan"), float("inf")).bounded()
+        PaceDigest(demand=1.0, running=0.0, limit=64.0)
+        """
+        return PaceDigest(
+            min(MAX_STATEMENTS, max(0.0, self.demand)),
+            min(MAX_STATEMENTS, max(0.0, self.running)),
+            min(MAX_LIMIT, max(0.0, self.limit)),
+        )
+
 
 NO_DIGEST = PaceDigest(0.0, 0.0, 0.0)
 
@@ -130,7 +148,8 @@
             Whether targets that are missing have no entry.
         """
         known = {} if is_full else self._digests_by_vm.get(vm, {})
-        known = {**known, **digest_by_target}
+        changed = {t: digest.bounded() for t, digest in digest_by_target.items()}
+        known = {**known, **changed}
         self._digests_by_vm[vm] = {t: d for t, d in known.items() if d.limit > 0}
         self._heard_at[vm] = now
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
@@ -145,7 +145,7 @@
     Parameters
     ----------
     limit : float
-        Initial limit: the slots that the target has registered.
+        Initial limit: the slots that the target has registered, up to ``MAX_LIMIT``.
 
     Attributes
     ----------
@@ -156,7 +156,7 @@
     """
 
     def __init__(self, limit: float) -> None:
-        self.limit = max(MIN_LIMIT, limit)
+        self.limit = min(MAX_LIMIT, max(MIN_LIMIT, limit))
         self.peers_running = 0.0
         self._part = max(1, round(self.limit))
         self._weight = 1.0
--- a/packages/guavabarrow-daemon/tests/test_pace_service.py
+++ b/packages/guavabarrow-daemon/tests/test_pace_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -20,9 +21,10 @@
     StatementFailed,
     TransactionState,
 )
-from guavabarrow_core.target_pace import PaceSample
+from guavabarrow_core.target_pace import MAX_LIMIT, PaceSample
 from guavabarrow_daemon.fleet import pace_service
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
+from guavabarrow_daemon.fleet.fleet_messages import PeerHeartbeat, SharedPace
 from guavabarrow_daemon.fleet.pace_service import PaceService
 from guavabarrow_daemon.front.target_exchange import TargetExchange
 from guavabarrow_daemon.kernel import Kernel
@@ -57,6 +59,34 @@
                 pool.window.on_answer(0.02, sample)
 
 
+def test_a_registration_with_a_giant_capacity_stops_no_host(monkeypatch):
+    """Hosts divided the registered slots one by one, and did nothing else any more."""
+    fleet = SimFleet(monkeypatch)
+    fleet.wait_until_serving()
+    host_service(fleet)
+    pool_by_vm = {}
+    for name in HOSTS:
+        directory = fleet.vm_by_name[name].kernel.find(DirectoryService)
+        odd = replace(directory.entry(TARGET), born_ms=1, slots=2**63 - 1)
+        pool_by_vm[name] = directory.pool(odd)
+    run_under_load(fleet, pool_by_vm, 2.0)
+    assert sum(pool.window.size for pool in pool_by_vm.values()) <= MAX_LIMIT + 3.0
+
+
+@pytest.mark.parametrize("limit", [2.0**63, float("inf"), float("nan"), -1.0])
+def test_a_limit_that_no_target_has_stops_no_peer(monkeypatch, limit):
+    """Peers of a host divided the limit that it published one by one, or raised."""
+    fleet = SimFleet(monkeypatch)
+    fleet.wait_until_serving()
+    pool_by_vm = host_service(fleet)
+    run_under_load(fleet, pool_by_vm, 2.0)
+    odd = PeerHeartbeat(paces={TARGET: SharedPace(limit, limit, limit)})
+    for name in ("north-0", "west-0"):
+        vm = fleet.vm_by_name[name]
+        vm.kernel.find(PaceService)._on_heartbeat("east-0", odd)
+        assert 1.0 <= pool_by_vm[name].window.size <= MAX_LIMIT
+
+
 @pytest.mark.parametrize("drops_old", [True, False])
 def test_hosts_share_a_limit_until_one_is_cut_off(monkeypatch, drops_old):
     """Failure: one of three domains is cut off; the others divide its part."""
