Refuse entries whose names or address no target can have

An entry of another writer with port 0, a host name or a malformed host counted as a target. VMs connected to it, and looked host names up, although targets have IPv4 addresses. A name that isn't found raises DNSLookupError and a port out of range OverflowError; the driver's callers expect neither, so that opening a connection failed as an unexpected error and its statements waited for their deadlines. Names could have control characters and any length. The reason in the log quoted a value of any length.

Cause: decoding checked the type of each field and that the port has up to five digits, nothing else. A list that another VM relayed was taken over unchecked.

A bad entry is left out and logged once; the others of the list are used. The driver reports both errors as TargetUnreachable. Reasons are cut to 200 characters. The simulated list of targets has IPv4 addresses now, in place of host names.

--- a/packages/guavabarrow-core/src/guavabarrow_core/exceptions.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/exceptions.py
@@ -29,6 +29,10 @@
     """A session token that is malformed, forged or belongs to another team."""
 
 
+class InvalidEntry(GuavabarrowError):
+    """A registration that names no target that can be used."""
+
+
 class ConfigurationError(GuavabarrowError):
     """A configuration document or change that is not valid."""
 
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
@@ -3,6 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from ipaddress import IPv4Address
+
+from guavabarrow_core.exceptions import InvalidEntry
+
+MAX_NAME_LENGTH = 200
+"""Length of the longest key in the store, in characters."""
+
+MAX_PORT = 65535
+BROADCAST = IPv4Address("255.255.255.255")
 
 RECOVERY_GRACE_S = 2.5
 """Entries that expired during an outage of the store reappear within about two seconds
@@ -43,6 +52,22 @@
     slots: int = 1
     born_ms: int = 0
 
+    def validate(self) -> None:
+        """Check the names and the address.
+
+        Raises
+        ------
+        InvalidEntry
+            If a target can't be told a name, or no target can have the address.
+        """
+        for word in (self.target_id, self.service):
+            if not _is_name(word) or " " in word:
+                raise InvalidEntry(f"invalid id or service: {word!r}")
+        if not _is_name(self.domain):
+            raise InvalidEntry(f"invalid failure domain: {self.domain!r}")
+        if not is_target_address(self.host, self.port):
+            raise InvalidEntry(f"invalid address: {self.host!r} {self.port}")
+
 
 @dataclass(slots=True)
 class TargetDirectory:
@@ -138,3 +163,27 @@
         old = self.entry_by_id[target_id]
         address = (old.host, old.port)
         return any((entry.host, entry.port) == address for entry in current.values())
+
+
+def is_target_address(host: str, port: int) -> bool:
+    """Return whether a host and a TCP port are an address of one machine.
+
+    Host names are not resolved.
+
+    Examples
+    --------
+    >>> is_target_address("10.0.0.1", 5432), is_target_address("10.0.0.1", 0)
+    (True, False)
+    >>> is_target_address("db.local", 5432), is_target_address("0.0.0.0", 5432)
+    (False, False)
+    """
+    try:
+        address = IPv4Address(host)
+    except ValueError:
+        return False
+    is_group = address.is_multicast or address == BROADCAST
+    return not (address.is_unspecified or is_group) and 0 < port <= MAX_PORT
+
+
+def _is_name(text: str) -> bool:
+    return 0 < len(text) <= MAX_NAME_LENGTH and text.isprintable()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/decoding.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/decoding.py
@@ -14,9 +14,34 @@
 
 T = TypeVar("T")
 
+MAX_DETAIL_LENGTH = 200
+"""Length of a reason in characters; reasons quote values of any length."""
+
 
 class UndecodableValue(GuavabarrowError):
-    """Bytes that are malformed or do not hold the expected fields."""
+    """Bytes that are malformed or do not hold the expected fields.
+
+    Parameters
+    ----------
+    detail : str
+        Reason, shortened to ``MAX_DETAIL_LENGTH``.
+    """
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(shorten(detail))
+
+
+def shorten(text: str) -> str:
+    """Return a text for a log line, cut to ``MAX_DETAIL_LENGTH`` characters.
+
+    Examples
+    --------
+    >>> len(shorten("x" * 100_000))
+    200
+    """
+    if len(text) <= MAX_DETAIL_LENGTH:
+        return text
+    return f"{text[: MAX_DETAIL_LENGTH - 3]}..."
 
 
 def decode_value(decoder: JsonDecoder[T] | MessagePackDecoder[T], data: bytes) -> T:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -9,11 +9,13 @@
 from xxhash import xxh3_64_intdigest
 
 from guavabarrow_core.connection_budget import divide_connections
+from guavabarrow_core.exceptions import InvalidEntry
 from guavabarrow_core.fleet_state import LeadRow, VersionedRow
 from guavabarrow_core.paced_load import PacedLoad
 from guavabarrow_core.target_directory import TargetDirectory, TargetEntry
 from guavabarrow_core.target_load import LoadEstimate, TargetLoad
 from guavabarrow_core.target_pace import TargetPace
+from guavabarrow_daemon.decoding import shorten
 from guavabarrow_daemon.fleet.fleet_messages import UNKNOWN_AGE_S
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
@@ -234,10 +236,13 @@
         except StoreUnavailable:
             self.directory.record_outage(now_s())
             return
+        self._report_problems(problems)
+        self._apply_listing(entries, 0.0)
+
+    def _report_problems(self, problems: list[str]) -> None:
         for problem in set(problems) - self._reported_problems:
             log_decision("entry_left_out", problem=problem)
         self._reported_problems = set(problems)
-        self._apply_listing(entries, 0.0)
 
     def _apply_listing(self, entries: list[TargetEntry], age_s: float) -> None:
         outage_at = max(self._fleet.store_failed_at, self._fleet.stale_at)
@@ -310,9 +315,21 @@
         return min(UNKNOWN_AGE_S, now_s() - self.directory.as_of)
 
     def apply_relayed_listing(self, entries: list[TargetEntry], age_s: float) -> None:
-        """Apply a list that another VM has read, if it is newer."""
-        if age_s < self.age_s:
-            self._apply_listing(entries, age_s)
+        """Apply a list that another VM has read, if it is newer.
+
+        Entries are checked again, as the VM may run a version that accepts others.
+        """
+        if age_s >= self.age_s:
+            return
+        valid, problems = [], []
+        for entry in entries:
+            try:
+                entry.validate()
+                valid.append(entry)
+            except InvalidEntry as error:
+                problems.append(shorten(f"{entry.target_id}: {error}"))
+        self._report_problems(problems)
+        self._apply_listing(valid, age_s)
 
     def confirm_relayed_listing(self, age_s: float) -> None:
         """Record that another VM has read the same list more recently."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_driver.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_driver.py
@@ -6,7 +6,11 @@
 
 from twisted.internet.defer import CancelledError, TimeoutError
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-from twisted.internet.error import ConnectError, ConnectionRefusedError
+from twisted.internet.error import (
+    ConnectError,
+    ConnectionRefusedError,
+    DNSLookupError,
+)
 
 from guavabarrow_daemon.targets.interface import (
     TargetConnectionBroken,
@@ -75,7 +79,7 @@
             await connectProtocol(endpoint, connection)
         except ConnectionRefusedError as error:
             raise TargetUnreachable("connection refused", is_refused=True) from error
-        except ConnectError as error:
+        except (ConnectError, DNSLookupError, OverflowError) as error:
             raise TargetUnreachable(f"{type(error).__name__}: {error}") from error
         connection.opened.addTimeout(self._opening_limit_s, self._reactor)
         try:
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -317,12 +317,13 @@
         """Return the entries."""
         await self._table.read()
         now = self._reactor.network.now
+        hosts = list(dict.fromkeys(target.host for target in self._group.targets))
         entries = [
             TargetEntry(
                 target.target_id,
                 SERVICE,
                 target.domain,
-                target.host,
+                f"10.0.0.{1 + hosts.index(target.host)}",
                 1,
                 target.is_draining,
                 target.is_listed_as_primary,
--- a/tests/platform_adapter/test_operator_tables.py
+++ b/tests/platform_adapter/test_operator_tables.py
@@ -31,6 +31,9 @@
     "Sequence": 4,
     "born": 1,
 }
+MAX_PROBLEM_LENGTH = 500
+"""A line of the log is written at once up to 4 KB."""
+
 CONFIGURATION = {"Version": 2, "Routes": [], "Services": [], "Tenants": []}
 
 
@@ -73,7 +76,42 @@
     "role of another type": entry_with(DbRole=["primary"]),
     "service of two words": entry_with(Service="orders db"),
     "unknown state": entry_with(State="resting"),
+    "nested in an unknown field": entry_with()[:-1]
+    + b',"Extra":'
+    + b"[" * 100_000
+    + b"]" * 100_000
+    + b"}",
+    "nested in a known field": entry_with(Zone=[[[[[]]]]]),
+    "number beyond 64 bits": entry_with(Sequence=10**19),
+    "number of 400 digits": entry_with(WarmupLeftMs=10**400),
+    "exponent out of range": entry_with()[:-1] + b',"WarmupLeftMs":1e400}',
+    "infinite number": entry_with(WarmupLeftMs=float("inf")),
+    "no number": entry_with(WarmupLeftMs=float("nan")),
+    "negative capacity": entry_with(Capacity=-1),
+    "half a surrogate pair": entry_with(Zone="\ud800"),
+    "giant service": entry_with(Service="s" * 60_000),
+    "giant zone": entry_with(Zone="z" * 60_000),
+    "giant state": entry_with(State="s" * 60_000),
+    "giant role": entry_with(DbRole="s" * 60_000),
+    "giant host": entry_with(Address="1" * 200_000 + ":1"),
+    "giant port": entry_with(Address="10.0.0.1:" + "1" * 200_000),
+    "zone without characters": entry_with(Zone=""),
+    "control character in a service": entry_with(Service="orders\0"),
+    "control character in a zone": entry_with(Zone="north\x1b[31m"),
 }
+ODD_ADDRESSES = [
+    *("", ":", "10.0.0.1", "10.0.0.1:", ":5432", "5432"),
+    *(f"10.0.0.1:{port}" for port in ("0", "65536", "99999", "+5", "-5", "1_0", " 5")),
+    *(f"10.0.0.1:{port}" for port in ("\u0663", "\u00b2", "0x10", "5.0", "5\n", "5\0")),
+    *(f"{host}:5432" for host in ("db.local", "localhost", "a b", "[::1]", "::1")),
+    *(f"{host}:5432" for host in ("10.0.0.1 ", " 10.0.0.1", "10.0.0.1\0", "10.1")),
+    *(
+        f"{host}:5432"
+        for host in ("999.1.1.1", "010.0.0.1", "\u0661.1.1.1", "1.1.1.1/8")
+    ),
+    *(f"{host}:5432" for host in ("0.0.0.0", "224.0.0.1", "255.255.255.255")),
+]
+ODD_IDS = ["", "a b", "a\0", "a\n", "a\x1b", "\u2028", "a" * 201]
 
 
 @pytest.mark.parametrize("value", UNREADABLE_ENTRIES.values(), ids=UNREADABLE_ENTRIES)
@@ -83,9 +121,33 @@
     entries, problems = result_of(StoredDirectory(table).read())
     assert [entry.target_id for entry in entries] == ["row-1"]
     assert len(problems) == 1
+    assert len(problems[0]) < MAX_PROBLEM_LENGTH
     msgspec.msgpack.encode(entries)
 
 
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_an_address_that_no_target_can_have_is_refused(address):
+    """Port 0, names and malformed hosts passed and were connected to or looked up."""
+    with pytest.raises(UndecodableValue):
+        decode_entry("t", entry_with(Address=address))
+
+
+@pytest.mark.parametrize("target_id", ODD_IDS)
+def test_a_key_that_no_target_can_have_is_refused(target_id):
+    """Control characters in a key passed, and were written into a line to a target."""
+    with pytest.raises(UndecodableValue):
+        decode_entry(target_id, entry_with())
+
+
+def test_entries_with_one_address_or_a_repeated_field_are_decoded():
+    doubled = entry_with()[:-1] + b',"Zone":"south"}'
+    entries, problems = result_of(
+        StoredDirectory(FakeTable(entry_with(), doubled)).read()
+    )
+    assert [entry.domain for entry in entries] == ["north", "south"]
+    assert not problems
+
+
 @pytest.mark.parametrize("name", ENTRY)
 @pytest.mark.parametrize("value", [None, [], "absent"])
 def test_an_entry_names_no_target_unless_all_its_fields_are_there(name, value):
