--- a/tests/platform_adapter/standin_platform.py
+++ b/tests/platform_adapter/standin_platform.py
@@ -42,6 +42,7 @@
         self.is_silent = False
         self.write_responses_to_drop = 0
         self.calls: list[str] = []
+        self.undecodable_keys: set[str] = set()
         self._rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
         self._version = 0
         self._changed = threading.Condition()
@@ -55,9 +56,15 @@
 
     def put(self, table: str, key: str, value: object) -> None:
         """Write a row, as an operator or a database would."""
+        self.put_bytes(table, key, json.dumps(value).encode())
+
+    def put_bytes(self, table: str, key: str, data: bytes) -> None:
+        """Write a row of any bytes, as another writer would.
+
+        The value of a key in ``undecodable_keys`` is returned in another encoding.
+        """
         with self._changed:
             self._version += 1
-            data = json.dumps(value).encode()
             self._rows[(table, key)] = (data, self._version)
             self._changed.notify_all()
 
@@ -153,7 +160,9 @@
             if name != table or version <= after:
                 continue
             row = {"Table": table, "part": "", "Key": key, "Ver": version}
-            if value is not None:
+            if value is not None and key in self.undecodable_keys:
+                rows.append({**row, "Value": "%not base64%"})
+            elif value is not None:
                 rows.append({**row, "Value": base64.b64encode(value).decode()})
             elif with_tombstones:
                 rows.append({**row, "Tombstone": True})
