Refuse integers beyond 64 bits in a configuration

A route's Priority of 10^30 cut off callers of hosted services, some with INDOUBT. A MaxConns of 10^400 made the periodic trimming of the pools fail each time. After a Version of 10^30 every later version was ignored for as long as the process ran.

Cause: JSON integers have any size here, but messages between VMs have 64 bits and metrics are floats.

The integers of a configuration are bounded to 64 bits, so such a configuration is left out as any other that can't be decoded, and the one in force stays. Infinite numbers and NaN were refused before; negative and giant durations, rates and limits within these bounds are used as they are.

--- a/tests/platform_adapter/local_deployment.py
+++ b/tests/platform_adapter/local_deployment.py
@@ -207,6 +207,7 @@
             "Limits": {"MaxBodyBytes": 262144, "IdleTxMs": 3000, **limits},
             "Tenants": [tenant],
         }
+        self.configuration = configuration
         self.store.put("op", "config", configuration)
 
     def start_vm(self, name: str) -> Vm:
--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -173,6 +173,40 @@
     assert_serving(fleet)
 
 
+@pytest.mark.parametrize(
+    ("part", "field", "number"),
+    [
+        ("Routes", "Priority", 10**30),
+        ("Services", "MaxConns", 10**400),
+        (None, "Version", 10**30),
+    ],
+    ids=["priority", "connections", "version"],
+)
+def test_a_configuration_with_a_giant_number_is_left_out(fleet, part, field, number):
+    """Callers were cut off, background work failed, or later versions were ignored."""
+    fleet.configure(max_connections=SCARCE_CONNECTIONS)
+    odd = fleet.configuration
+    for fields in odd[part] if part else [odd]:
+        fields[field] = number
+    fleet.store.put("op", "config", odd)
+    wait_for(
+        lambda: any(vm.events("configuration_unreadable") for vm in fleet.vms),
+        "the configuration is read",
+        timeout_s=2 * FOLLOW_S,
+    )
+    assert_serving(fleet)
+    fleet.configure(max_connections=SCARCE_CONNECTIONS)
+    for vm in fleet.vms:
+        wait_for(
+            lambda vm=vm: any(
+                line["version"] == fleet.version
+                for line in vm.events("configuration_in_force")
+            ),
+            f"{vm.name} uses the next configuration",
+        )
+    assert_serving(fleet)
+
+
 def test_two_entries_with_one_address_stop_no_vm(fleet):
     """The second entry names a database that answers under another id."""
     replica = next(d for d in fleet.group.databases if not d.is_primary)
--- a/tests/platform_adapter/test_operator_tables.py
+++ b/tests/platform_adapter/test_operator_tables.py
@@ -176,6 +176,42 @@
     assert orders.configuration is None
 
 
+@pytest.mark.parametrize("number", ["1" + "0" * 30, "-1" + "0" * 30, "1e400", "NaN"])
+@pytest.mark.parametrize(
+    ("part", "field"),
+    [
+        (None, "Version"),
+        *(("Routes", name) for name in ("Priority", "TimeoutMs", "MaxStalenessMs")),
+        *(("Services", name) for name in ("MaxConns", "SyncReplicas")),
+        *(("Tenants", name) for name in ("RatePerS", "Burst")),
+        *(("Limits", name) for name in ("MaxBodyBytes", "IdleTxMs")),
+    ],
+)
+def test_numbers_of_a_configuration_are_finite_and_integers_have_64_bits(
+    part, field, number
+):
+    """A priority beyond 64 bits passed, and no statement to a host was encoded."""
+    parts: dict = {
+        "Routes": {"Host": "shop", "Service": "orders", "Kind": "primary"},
+        "Services": {"Name": "orders"},
+        "Tenants": {"Name": "a", "ApiKeys": ["k"], "RatePerS": 1},
+        "Limits": {},
+    }
+    fields = parts[part] if part else parts
+    fields.update({"Version": 2} if part else {})
+    fields[field] = "NUMBER"
+    parts.setdefault("Version", 2)
+    for name in ("Routes", "Services", "Tenants"):
+        parts[name] = [parts[name]]
+    value = json.dumps(parts).replace('"NUMBER"', number).encode()
+    is_float = field.endswith("Ms") or part == "Tenants"
+    if is_float and number.endswith("0" * 30):
+        assert decode_configuration(value).version == 2
+        return
+    orders = StoredOrders(FakeTable()).decode([TableRow("config", value, 1)])
+    assert orders.configuration is None
+
+
 def test_names_that_no_target_can_be_told_are_left_out():
     """A team or service of two words would shift the fields of a line to a target."""
     routes = [
