Bound ports, names and terms of rows in the shared table

A row of another writer in the VMs' own table made all VMs connect to port 0 or to ports out of range twice a second, and log names of 30 KB in each line about it. A line above 4 KB may be written to a pipe in part, and then it spoils the next one.

Cause: the decoder checked types only.

Ports, terms and the lengths of names are bounded where a row is decoded; a row out of bounds counts as deleted, as an unreadable one did before. Host names are still looked up: no check of the address was added, since VMs of tests have names.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from guavabarrow_core.fleet_state import (
@@ -12,18 +14,26 @@
     MemberRow,
     VersionedRow,
 )
+from guavabarrow_core.target_directory import MAX_NAME_LENGTH, MAX_PORT
 from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.operations.decision_log import log_decision
 
+Text = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+"""Bounded, because a row is relayed and logged by each VM."""
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+Term = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class StoredMember(msgspec.Struct, frozen=True, tag="vm"):
     """Stored form of a VM's registration."""
 
-    vm: str
-    domain: str
-    host: str
-    port: int
-    incarnation: str
+    vm: Name
+    domain: Text
+    host: Name
+    port: Port
+    incarnation: Text
     is_out: bool = False
     cpu_cores: float = 0.0
 
@@ -31,18 +41,18 @@
 class StoredPrimary(msgspec.Struct, frozen=True, tag="lead"):
     """Stored form of a service's primary."""
 
-    service: str
+    service: Name
     phase: LeadPhase
-    primary_id: str
-    term: int
+    primary_id: Text
+    term: Term
     is_planned: bool = False
 
 
 class StoredDuty(msgspec.Struct, frozen=True, tag="duty"):
     """Stored form of the promotion duty and its holder."""
 
-    holder: str
-    incarnation: str
+    holder: Text
+    incarnation: Text
 
 
 StoredRow = StoredMember | StoredPrimary | StoredDuty
--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -207,6 +207,39 @@
     assert_serving(fleet)
 
 
+def test_odd_rows_of_the_shared_table_stop_no_vm(fleet):
+    """VMs connected to any port, and wrote names of any length into their logs."""
+    member = {
+        **{"type": "vm", "vm": "a-other", "domain": "north", "host": "127.0.0.1"},
+        **{"port": 9, "incarnation": "1", "cpu_cores": 1e308},
+    }
+    lead = {"type": "lead", "service": "other", "phase": "settled", "primary_id": "t"}
+    giant = "x" * 30_000
+    rows = {
+        "vm/deep": b'{"type":"vm","x":' + b"[" * 40_000,
+        **{
+            f"vm/{number}": json.dumps({**member, **changes}).encode()
+            for number, changes in enumerate(
+                [
+                    *({"port": port} for port in (0, 65536, -1, 10**400, 9)),
+                    *({"host": host} for host in ("", "db.local", "[::1]", giant)),
+                    *({name: giant} for name in ("vm", "domain", "incarnation")),
+                ]
+            )
+        },
+        "lead/term": json.dumps({**lead, "term": 10**30}).encode(),
+        "lead/service": json.dumps({**lead, "service": giant, "term": 1}).encode(),
+    }
+    for key, value in rows.items():
+        fleet.store.put_bytes("guavabarrow-fleet", key, value)
+    time.sleep(FOLLOW_S)
+    assert_serving(fleet)
+    for key in rows:
+        fleet.store.remove("guavabarrow-fleet", key)
+    assert_followed(fleet)
+    assert_serving(fleet)
+
+
 def test_two_entries_with_one_address_stop_no_vm(fleet):
     """The second entry names a database that answers under another id."""
     replica = next(d for d in fleet.group.databases if not d.is_primary)
