--- a/tests/platform_adapter/test_foreign_bytes.py
+++ b/tests/platform_adapter/test_foreign_bytes.py
@@ -7,6 +7,7 @@
 
 import json
 import time
+from ipaddress import IPv4Address
 
 import msgspec
 import pytest
@@ -14,6 +15,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from guavabarrow_core.exceptions import InvalidEntry
+from guavabarrow_core.target_directory import TargetEntry
+from guavabarrow_core.target_pace import MAX_LIMIT, TargetPace
 from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.fleet import fleet_messages
 from guavabarrow_daemon.fleet.row_codec import decode_row
@@ -79,6 +83,27 @@
 }
 
 
+TARGET_FIELDS = {
+    "target_id": "t1",
+    "service": "orders",
+    "domain": "north",
+    "host": "10.0.0.1",
+    "port": 1,
+    "is_draining": False,
+    "is_primary": True,
+    "slots": 1,
+    "born_ms": 1,
+}
+ODD_FIELDS = (
+    st.none()
+    | st.booleans()
+    | st.floats()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.text("ab:1.\0", max_size=8)
+    | st.sampled_from(["db.local", "0.0.0.0", "[::1]", "10.0.0.2", "s" * 300, [[[]]]])
+)
+
+
 def decode_or_refuse(name: str, data: bytes) -> None:
     decode, error = DECODERS[name]
     try:
@@ -167,3 +192,33 @@
     data = msgspec.msgpack.encode({"type": "unknown"})
     with pytest.raises(UndecodableValue):
         decode_value(fleet_messages.DECODER, data)
+
+
+def decode_relayed_target(fields: dict) -> TargetEntry:
+    """Decode a list of one target as another VM sends it."""
+    answer = {"type": fleet_messages.TableAnswer.__struct_config__.tag}
+    integers = ("number", "fleet_version", "rows_version", "orders_version")
+    answer.update(dict.fromkeys(integers, 1))
+    answer.update(store_s=1.0, heard_store_s=1.0, rows=[], orders=[], targets=[fields])
+    data = msgspec.msgpack.encode(answer)
+    [entry] = decode_value(fleet_messages.DECODER, data).targets
+    entry.validate()
+    return entry
+
+
+def test_a_relayed_target_is_decoded():
+    entry = decode_relayed_target(TARGET_FIELDS)
+    assert entry == TargetEntry(**TARGET_FIELDS)
+
+
+@given(st.dictionaries(st.sampled_from(list(TARGET_FIELDS)), ODD_FIELDS))
+def test_relayed_targets_are_usable_or_refused(changes):
+    """A peer of another version relayed a port and a host that raised in the driver."""
+    try:
+        entry = decode_relayed_target({**TARGET_FIELDS, **changes})
+    except (UndecodableValue, InvalidEntry) as error:
+        assert str(error)
+        return
+    assert 0 < entry.port < 2**16
+    assert IPv4Address(entry.host)
+    assert TargetPace(entry.slots).limit <= MAX_LIMIT
