Fit the tests of odd configurations to the merged reading of orders

A test called the former StoredOrders.decode, and the log event of a configuration that can't be decoded keeps its name and its level.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
@@ -10,6 +10,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from loguru import logger
 from twisted.internet.defer import Deferred
 
 from guavabarrow_core.operator_rows import OperatorRows
@@ -223,11 +224,8 @@
     def _reject(self, row: TableRow, error: UndecodableValue) -> None:
         if row.version > self._undecodable_version_by_key.get(row.key, 0):
             self._undecodable_version_by_key[row.key] = row.version
-            log_decision(
-                "order_undecodable",
-                key=row.key,
-                row_version=row.version,
-                detail=str(error),
+            logger.bind(key=row.key, row_version=row.version, error=str(error)).error(
+                "configuration_unreadable"
             )
 
     def _receive(self, changed: list[TableRow], source: str) -> None:
--- a/tests/platform_adapter/test_operator_tables.py
+++ b/tests/platform_adapter/test_operator_tables.py
@@ -221,7 +221,7 @@
     if is_float and number.endswith("0" * 30):
         assert decode_configuration(value).version == 2
         return
-    orders = StoredOrders(FakeTable()).decode([TableRow("config", value, 1)])
+    orders = orders_from(TableRow("config", value, 1))
     assert orders.configuration is None
 
 
