Divide a target's limit by the concurrency that each host needs

Cause: a host's demand was the mean of its running statements plus the number of those that waited. The first is a concurrency, the second a count: ten statements of 20 ms that waited at the moment of a heartbeat weighed as much as ten that always run. Until the next heartbeat the host then had nearly the whole limit and the others one statement each, whose queues grew and took the limit at the next heartbeat. The hosts swapped the limit at 0.8 of the capacity, where there was room for all, and the bursts at the target let the limit grow.

Change: the waiting statements count with the concurrency that serves them until the next division (waiting x response time / 0.7 s).

--- a/packages/guavabarrow-core/src/guavabarrow_core/pace_share.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/pace_share.py
@@ -34,7 +34,7 @@
     Parameters
     ----------
     demand : float
-        Mean of the statements that it runs at or holds back from the target.
+        Concurrency that it needs; see :meth:`TargetPace.demand`.
     running : float
         Mean of those that it runs.
     limit : float
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
@@ -88,6 +88,9 @@
 
 INITIAL_RESPONSE_S = 0.02
 
+DIVISION_S = 0.7
+"""Time for which a division of the limit holds: the interval of the heartbeats."""
+
 
 @dataclass(frozen=True, slots=True)
 class PaceSample:
@@ -250,6 +253,27 @@
             self._busy.popleft()
         return sum(response_s for _, response_s in self._busy)
 
+    def demand(self, waiting: int, now: float) -> float:
+        """Return the concurrency that this VM needs until the next division.
+
+        Parameters
+        ----------
+        waiting : int
+            Statements that it holds back from the target.
+        now : float
+            Local time, in s.
+
+        Returns
+        -------
+        float
+            Mean of the running statements, plus the concurrency that serves the waiting
+            ones within ``DIVISION_S``.
+        """
+        running = self.mean_running(now)
+        answered = len(self._busy)
+        response_s = running / answered if answered else INITIAL_RESPONSE_S
+        return running + waiting * response_s / DIVISION_S
+
     def _evaluate(self, now: float) -> None:
         self._evaluated_at = now
         if len(self._recent) < MIN_RECENT_SAMPLES:
--- a/packages/guavabarrow-core/tests/pace_sim.py
+++ b/packages/guavabarrow-core/tests/pace_sim.py
@@ -84,7 +84,7 @@
         result = {}
         for name, pace in self.pace.items():
             running = pace.mean_running(now)
-            demand = running + len(self.waiting[name])
+            demand = pace.demand(len(self.waiting[name]), now)
             result[name] = PaceDigest(demand, running, pace.limit)
         return result
 
--- a/packages/guavabarrow-core/tests/test_target_pace.py
+++ b/packages/guavabarrow-core/tests/test_target_pace.py
@@ -14,7 +14,7 @@
     joint_limit,
 )
 from guavabarrow_core.response_baseline import WorkClass, WorkKind
-from guavabarrow_core.target_pace import TargetPace
+from guavabarrow_core.target_pace import DIVISION_S, PaceSample, TargetPace
 
 ALL = ("a", "b", "c")
 COSTLY = WorkClass(WorkKind.READ, 1.2)
@@ -148,6 +148,27 @@
     assert np.abs(limits / limits.mean() - 1.0).max() <= 0.1
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_hosts_with_equal_load_answer_within_the_objective(seed):
+    """Load: 183 statements a second, 0.8 of what the target runs, on three hosts."""
+    sim = Sim([Target("p")], [Flow(WRITE, 0.02, 61.0, ("p",))], seed=seed)
+    sim.run(25.0)
+    times = [response_s for at, _, _, response_s in sim.answers if at >= 5.0]
+    assert np.quantile(times, 0.98) < WRITE.objective_s
+
+
+def test_a_short_queue_of_one_host_leaves_the_parts_of_the_others():
+    """Load: three hosts run 1.4 statements each, and ten more wait at one of them."""
+    demands = {}
+    for vm, waiting in (("a", 10), ("b", 0), ("c", 0)):
+        pace = TargetPace(9.0)
+        for number in range(70):
+            pace.on_answer(PaceSample(WRITE, 0.02, 1.0 + 0.01 * number, 1))
+        demands[vm] = pace.demand(waiting, 1.7)
+    assert demands["a"] == pytest.approx(1.4 + 10 * 0.02 / DIVISION_S)
+    assert divide_limit(9.0, demands, "t1") == {"a": 3, "b": 3, "c": 3}
+
+
 def test_parts_of_all_hosts_exceed_the_joint_limit_by_at_most_one_each():
     """Load: any demand of one to six hosts."""
     rng = np.random.default_rng(1)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/pace_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/pace_service.py
@@ -147,7 +147,7 @@
     def _digest(pool: SessionPool, window: PacedWindow, now: float) -> PaceDigest:
         running = window.pace.mean_running(now)
         return PaceDigest(
-            round(running + pool.waiting, DIGEST_DIGITS),
+            round(window.pace.demand(pool.waiting, now), DIGEST_DIGITS),
             round(running, DIGEST_DIGITS),
             round(window.pace.limit, DIGEST_DIGITS),
         )
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -382,4 +382,10 @@
         "margin_s = ANSWER_MARGIN_S",
         "test_drain_schedule",
     ),
+    Mutation(
+        "target_pace",
+        "return running + waiting * response_s / DIVISION_S",
+        "return running + waiting",
+        "test_target_pace",
+    ),
 )
