Grow a target's limit with care beyond the one known to be good

Cause: each growth step was judged by answers of the last 1.6 s, most of them sent before the steps of the last second, so the limit passed the right one by several steps before answers showed it, and only strong evidence takes it back. Under steady load it crept upwards; when a target slowed down from half of its slots, the limit fell from far above.

Change: the fast growth (0.25, then 0.5 at each evaluation) ends when answers first become slower or a peer reports a lower limit. After a decrease it goes up to the limit before it. Beyond, the next step of 0.25 needs samples that were sent after the last one.

Tried and dropped: further decreases by steps of 0.25 above a ratio of 1.35 after a certain one.

--- a/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
@@ -4,7 +4,9 @@
 those of the same class at light load (``response_baseline``). While the window is in
 use and responses are as fast as without load, the limit grows; when statements sent at
 a high concurrency take longer, it shrinks in proportion. Between both bounds it is
-held, so that it doesn't oscillate. A target that is slow at light load, too, isn't
+held, so that it doesn't oscillate. It grows fast until answers first become slower, and
+after a decrease up to the former limit. Beyond, each step needs answers to statements
+that were sent after the one before. A target that is slow at light load, too, isn't
 helped by a smaller limit: its baseline rises instead, and reads are sent elsewhere.
 
 All hosts of a service send to the same targets, so the limit and the concurrency are
@@ -15,7 +17,7 @@
 
 from collections import deque
 from dataclasses import dataclass
-from math import exp, sqrt
+from math import exp, inf, sqrt
 
 from guavabarrow_core.response_baseline import (
     ResponseBaseline,
@@ -58,8 +60,12 @@
 
 FIRST_STEP = 0.25
 MAX_STEP = 0.5
-"""Steps of the growth, doubled while it goes on. With 0.35 at most, a limit that was
-halved is not regained within two seconds; larger steps make it vary more."""
+"""Steps of the growth, doubled while a former limit is regained. With 0.35 at most, a
+limit that was halved is not regained within two seconds."""
+
+LOWER_LIMIT = 0.1
+"""Difference from which the joint limit is lower than the own one; digests are rounded
+to it."""
 
 FULL_FRACTION = 0.9
 """Fraction of the limit from which it counts as used."""
@@ -165,6 +171,8 @@
         self._weight = 1.0
         self._divided_limit = self.limit
         self._step = FIRST_STEP
+        self._regain_limit = inf
+        self._has_grown = True
         self._changed_at = float("-inf")
         self._evaluated_at = float("-inf")
         self._refused_at = float("-inf")
@@ -222,6 +230,8 @@
 
     def follow(self, limit: float) -> None:
         """Adopt part of the limit that all hosts found; see ``pace_share``."""
+        if limit <= self.limit - LOWER_LIMIT:
+            self._end_search(limit)
         self.limit = min(MAX_LIMIT, max(MIN_LIMIT, limit))
 
     def slowdown(self, now: float) -> float:
@@ -292,12 +302,21 @@
             return
         self._trial = None
         if ratio < FAST_RATIO:
-            self._grow()
+            self._grow(now)
         else:
             self._step = FIRST_STEP
+            self._end_search(self.limit)
+
+    def _end_search(self, limit: float) -> None:
+        """End the fast growth of the beginning, which has no limit to regain."""
+        if self._regain_limit == inf:
+            self._regain_limit = limit
 
     def _on_slow(self, ratio: float, now: float) -> None:
         """Shrink the limit, or restore it if shrinking doesn't make answers faster."""
+        if self._has_grown:
+            self._has_grown = False
+            self._regain_limit = self.limit
         trial = self._trial
         if trial is None:
             # The samples may also be of the time before the target became slow.
@@ -313,14 +332,20 @@
             self._trial = _Trial(trial.limit, self.limit, ratio)
         self._set_limit(self.limit * max(MAX_DECREASE, LANDING_RATIO / ratio), now)
 
-    def _grow(self) -> None:
+    def _grow(self, now: float) -> None:
+        """Increase the limit if it is used."""
         recent = self._recent
         full_count = sum(quotient.is_full for quotient in recent)
         if full_count < MIN_FULL_FRACTION * len(recent):
             self._step = FIRST_STEP
             return
-        self.limit = min(MAX_LIMIT, self.limit + self._step)
-        self._step = min(MAX_STEP, 2.0 * self._step)
+        self._has_grown = True
+        limit = min(MAX_LIMIT, self.limit + self._step)
+        if self.limit < self._regain_limit:
+            self.limit = limit
+            self._step = min(MAX_STEP, 2.0 * self._step)
+        else:
+            self._set_limit(limit, now)
 
     def _rescale_baselines(self, factor: float) -> None:
         for baseline in self._baseline_by_work.values():
--- a/packages/guavabarrow-core/tests/test_target_pace.py
+++ b/packages/guavabarrow-core/tests/test_target_pace.py
@@ -169,6 +169,18 @@
     assert divide_limit(9.0, demands, "t1") == {"a": 3, "b": 3, "c": 3}
 
 
+@pytest.mark.parametrize("peer_limit, growth", [(6.0, 1.75), (5.0, 1.0)])
+def test_a_limit_grows_by_small_steps_where_a_peer_found_a_lower_one(
+    peer_limit, growth
+):
+    """Load: 100 fast answers a second above the limit, judged four times."""
+    pace = TargetPace(6.0)
+    pace.follow(peer_limit)
+    for number in range(125):
+        pace.on_answer(PaceSample(WRITE, 0.02, 1.0 + 0.01 * number, 20))
+    assert pace.limit == pytest.approx(peer_limit + growth)
+
+
 def test_parts_of_all_hosts_exceed_the_joint_limit_by_at_most_one_each():
     """Load: any demand of one to six hosts."""
     rng = np.random.default_rng(1)
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -388,4 +388,16 @@
         "return running + waiting",
         "test_target_pace",
     ),
+    Mutation(
+        "target_pace",
+        "if self.limit < self._regain_limit:",
+        "if True:",
+        "test_target_pace",
+    ),
+    Mutation(
+        "target_pace",
+        "if limit <= self.limit - LOWER_LIMIT:",
+        "if False:",
+        "test_target_pace",
+    ),
 )
