Keep the idle connections of the teams that return soonest

Cause: a host kept the half of its connections that were used last and closed the others after 0.4 s. Under skewed load the last ones used are often those of teams that send a statement every ten seconds, while those of teams that return within a second were closed or evicted.

Change: idle connections are ranked by the recent statements of their teams (decayed with 16 s, TeamUse), one of each team; spare ones follow by last use. The first half of the budget is kept as before, the last one is evicted first. Elsewhere than at hosts the least recently used one is still evicted. Kept connections may now be idle for longer beside those used last, so a host with more than 0.6 of its connections open closes the rest after 0.1 s: twice as many fit the limit after a power loss.

--- a/packages/guavabarrow-core/src/guavabarrow_core/connection_budget.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/connection_budget.py
@@ -32,6 +32,15 @@
 """Idle time after which a kept connection is closed: several intervals between the
 statements of a team that sends one every second or two."""
 
+RESTART_FRACTION = 0.6
+"""Fraction of a host's connections up to which those beyond the kept ones may be idle
+for ``IDLE_TIMEOUT_S``. After a power loss of all VMs, the connections of the former
+hosts and as many of the new ones fit (2 * 0.6 * ``HOST_FRACTION`` < 1)."""
+
+SPARE_IDLE_S = 0.1
+"""Idle time after which a host with more connections closes those beyond the kept ones.
+"""
+
 EXCESS_IDLE_TIMEOUT_S = 0.3
 """Idle time after which a connection above the fair share is closed."""
 
@@ -183,12 +192,15 @@
         Parameters
         ----------
         rank : int
-            Number of idle connections that were used more recently.
+            Number of idle connections that are used again sooner; see ``team_use``.
         open_count : int
             Open connections of the pool.
         """
         if rank < self.limits.kept_idle:
             return KEPT_IDLE_S
+        limits = self.limits
+        if limits.is_host and open_count > RESTART_FRACTION * limits.connection_limit:
+            return SPARE_IDLE_S
         is_excess = open_count > self.limits.fair_share
         return EXCESS_IDLE_TIMEOUT_S if is_excess else IDLE_TIMEOUT_S
 
--- a/packages/guavabarrow-core/tests/test_statement_queue.py
+++ b/packages/guavabarrow-core/tests/test_statement_queue.py
@@ -120,6 +120,13 @@
     budget = ConnectionBudget(limits)
     assert budget.idle_timeout_s(limits.kept_idle - 1, 5) == KEPT_IDLE_S
     assert budget.idle_timeout_s(limits.kept_idle, 5) == IDLE_TIMEOUT_S
+    # The connections of the lost VMs and as many new ones fit.
+    crowded = next(
+        count
+        for count in range(limits.connection_limit + 1)
+        if budget.idle_timeout_s(limits.kept_idle, count) < IDLE_TIMEOUT_S
+    )
+    assert 2 * (crowded - 1) * hosts <= max_connections
     other = divide_connections(max_connections, 60, HostPlan(True, False, hosts))
     assert other.connection_limit == 1
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/connection_set.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/connection_set.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from guavabarrow_core.team_use import TeamUse
+
 if TYPE_CHECKING:
     from collections.abc import Container
 
@@ -24,6 +26,8 @@
         Connections that an open transaction holds.
     opening_by_team : Counter of str
         Connections that are being opened.
+    use : TeamUse
+        Recent statements by team.
     """
 
     def __init__(self) -> None:
@@ -31,6 +35,7 @@
         self.idle: list[SessionConnection] = []
         self.in_transaction: set[SessionConnection] = set()
         self.opening_by_team: Counter[str] = Counter()
+        self.use = TeamUse()
 
     def has_idle(self, team: str) -> bool:
         """Return whether an idle connection of a team exists."""
@@ -66,7 +71,7 @@
         return is_known
 
     def least_recently_used(
-        self, waiting_teams: Container[str], *, spare_first: bool = False
+        self, waiting_teams: Container[str]
     ) -> SessionConnection | None:
         """Return the idle connection to close for another team, None if there is none.
 
@@ -74,17 +79,48 @@
         ----------
         waiting_teams : container of str
             Teams whose connections are kept.
-        spare_first : bool
-            Whether connections of teams that have several are closed before others, so
-            that more teams find one.
         """
         closable = [c for c in self.idle if c.team not in waiting_teams]
-        if spare_first:
-            count_by_team = Counter(connection.team for connection in self.all)
-            spare = [c for c in closable if count_by_team[c.team] > 1]
-            closable = spare or closable
         return min(closable, key=lambda c: c.idle_since, default=None)
 
+    def least_useful(
+        self, waiting_teams: Container[str], now: float
+    ) -> SessionConnection | None:
+        """Return the last of :meth:`most_useful_first` that may be closed.
+
+        Parameters
+        ----------
+        waiting_teams : container of str
+            Teams whose connections are kept.
+        now : float
+            Local time, in s.
+        """
+        ranked = self.most_useful_first(now)
+        closable = [c for c in ranked if c.team not in waiting_teams]
+        return closable[-1] if closable else None
+
+    def most_useful_first(self, now: float) -> list[SessionConnection]:
+        """Return the idle connections, those first that are used again soonest.
+
+        They are ordered by the recent use of their teams. Of each team one connection
+        counts, so that a team that sends much doesn't displace the others; spare ones
+        follow, the most recently used first.
+
+        Parameters
+        ----------
+        now : float
+            Local time, in s.
+        """
+        idle = set(self.idle)
+        served = {connection.team for connection in self.all - idle}
+        first: list[SessionConnection] = []
+        spare: list[SessionConnection] = []
+        for connection in reversed(self.idle):
+            (spare if connection.team in served else first).append(connection)
+            served.add(connection.team)
+        first.sort(key=lambda c: self.use.recent(c.team, now), reverse=True)
+        return first + spare
+
     def expected_by_team(self, *, is_fast: bool) -> Counter[str]:
         """Return by team how many connections will be free soon.
 
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/session_pool.py
@@ -283,9 +283,7 @@
 
     def trim(self) -> None:
         """Close connections that were idle for too long and fail expired waiters."""
-        idle = list(self.held.idle)
-        for index, connection in enumerate(idle):
-            rank = len(idle) - 1 - index
+        for rank, connection in enumerate(self.held.most_useful_first(now_s())):
             if idle_s(connection) > self.budget.idle_timeout_s(rank, self.open_count):
                 self.held.discard(connection)
         self._serving.refuse_late()
@@ -354,6 +352,7 @@
     ) -> None:
         """Serve a waiting statement with a connection."""
         self.waiters.take(item)
+        self.held.use.record(item.team, now_s())
         if item.in_transaction:
             self.held.in_transaction.add(connection)
         item.value.callback(connection)
@@ -380,7 +379,10 @@
         """
         if self.open_count < limit:
             return True
-        connection = self.held.least_recently_used(kept_teams, spare_first=self.is_host)
+        if self.is_host:
+            connection = self.held.least_useful(kept_teams, now_s())
+        else:
+            connection = self.held.least_recently_used(kept_teams)
         if connection is None:
             return False
         self.held.discard(connection)
--- a/packages/guavabarrow-daemon/tests/test_host_load.py
+++ b/packages/guavabarrow-daemon/tests/test_host_load.py
@@ -9,6 +9,7 @@
 
 from guavabarrow_core import connection_budget
 from guavabarrow_core.statement_queue import StatementQueue
+from guavabarrow_core.team_use import TeamUse
 
 PURCHASES = RouteLoad(26, 0.008, 0, 0.201, 2.013)
 CATALOGUE = RouteLoad(80, 0.024, 1, 0.401, 2.006)
@@ -155,6 +156,14 @@
     assert kept < closed_early
 
 
+def test_connections_of_teams_that_return_soon_are_kept(monkeypatch):
+    """Shows that the test above depends on the use of the teams."""
+    kept = connections_per_operation(monkeypatch, 1)
+    monkeypatch.setattr(TeamUse, "recent", lambda self, team, now: 0.0)
+    by_last_use = connections_per_operation(monkeypatch, 1)
+    assert kept < 1 / 3 < by_last_use
+
+
 def test_a_full_target_is_not_asked_all_the_time(monkeypatch):
     """The target's connections are used by others, so it refuses every new one."""
     target = SimTarget()
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -400,4 +400,16 @@
         "if False:",
         "test_target_pace",
     ),
+    Mutation(
+        "connection_budget",
+        "RESTART_FRACTION = 0.6",
+        "RESTART_FRACTION = 0.9",
+        "test_statement_queue",
+    ),
+    Mutation(
+        "team_use",
+        "return recent * exp((used_at - now) / DECAY_S)",
+        "return recent",
+        "test_team_use",
+    ),
 )
