End the fast growth of a limit at a refusal; keep the demand of slow answers

And at statements that take seconds, a host without an answer in the last second counted its waiting statements with 20 ms each.

Change: a refusal, like a slow answer, makes the present limit the one to regain. The demand uses the last known mean response time.

--- a/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_pace.py
@@ -181,6 +181,7 @@
         self._baseline_by_work: dict[WorkClass, ResponseBaseline] = {}
         self._recent: deque[_Quotient] = deque()
         self._busy: deque[tuple[float, float]] = deque()
+        self._mean_response_s = INITIAL_RESPONSE_S
 
     @property
     def share(self) -> int:
@@ -226,6 +227,7 @@
         """
         if now - self._refused_at >= EVALUATE_INTERVAL_S:
             self._refused_at = now
+            self._begin_decrease()
             self._set_limit(self.limit * MAX_DECREASE, now)
 
     def follow(self, limit: float) -> None:
@@ -280,9 +282,9 @@
             ones within ``DIVISION_S``.
         """
         running = self.mean_running(now)
-        answered = len(self._busy)
-        response_s = running / answered if answered else INITIAL_RESPONSE_S
-        return running + waiting * response_s / DIVISION_S
+        if self._busy:
+            self._mean_response_s = running / len(self._busy)
+        return running + waiting * self._mean_response_s / DIVISION_S
 
     def _evaluate(self, now: float) -> None:
         self._evaluated_at = now
@@ -312,11 +314,15 @@
         if self._regain_limit == inf:
             self._regain_limit = limit
 
-    def _on_slow(self, ratio: float, now: float) -> None:
-        """Shrink the limit, or restore it if shrinking doesn't make answers faster."""
+    def _begin_decrease(self) -> None:
+        """Take the present limit for the one to regain, unless it is shrinking."""
         if self._has_grown:
             self._has_grown = False
             self._regain_limit = self.limit
+
+    def _on_slow(self, ratio: float, now: float) -> None:
+        """Shrink the limit, or restore it if shrinking doesn't make answers faster."""
+        self._begin_decrease()
         trial = self._trial
         if trial is None:
             # The samples may also be of the time before the target became slow.
--- a/packages/guavabarrow-core/tests/test_target_pace.py
+++ b/packages/guavabarrow-core/tests/test_target_pace.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import numpy as np
 import pytest
 from pace_sim import READ, WRITE, Flow, Sim, Target
@@ -224,6 +226,27 @@
     assert not peers.of_target("t1", 3.6)
 
 
+def test_the_demand_of_slow_statements_is_kept_between_their_answers():
+    """Load: statements of 2 s, one answer in 2 s, while five wait."""
+    pace = TargetPace(6.0)
+    pace.on_answer(PaceSample(WRITE, 2.0, 1.0, 1))
+    assert pace.demand(5, 1.5) == pytest.approx(2.0 + 5 * 2.0 / DIVISION_S)
+    assert pace.demand(5, 2.5) == pytest.approx(5 * 2.0 / DIVISION_S)
+
+
+def test_a_limit_that_a_target_refused_is_exceeded_by_small_steps():
+    """Load: 100 fast answers a second above the limit after a refusal at it."""
+    pace = TargetPace(6.0)
+    pace.on_refused(0.5)
+    limits = []
+    for number in range(300):
+        pace.on_answer(PaceSample(WRITE, 0.02, 1.0 + 0.01 * number, 20))
+        limits.append(pace.limit)
+    steps = [b - a for a, b in pairwise(limits) if b > a and a >= 6.0]
+    assert len(steps) > 3
+    assert steps[1:] == pytest.approx([0.25] * len(steps[1:]))
+
+
 def test_refusals_shrink_the_limit_once_for_one_full_queue():
     """Load: a target refuses ten statements at once because its queue is full."""
     pace = TargetPace(6.0)
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -384,7 +384,7 @@
     ),
     Mutation(
         "target_pace",
-        "return running + waiting * response_s / DIVISION_S",
+        "return running + waiting * self._mean_response_s / DIVISION_S",
         "return running + waiting",
         "test_target_pace",
     ),
