--- a/packages/guavabarrow-core/tests/test_target_pace.py
+++ b/packages/guavabarrow-core/tests/test_target_pace.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import numpy as np
 import pytest
 from pace_sim import READ, WRITE, Flow, Sim, Target
@@ -14,7 +16,7 @@
     joint_limit,
 )
 from guavabarrow_core.response_baseline import WorkClass, WorkKind
-from guavabarrow_core.target_pace import TargetPace
+from guavabarrow_core.target_pace import DIVISION_S, PaceSample, TargetPace
 
 ALL = ("a", "b", "c")
 COSTLY = WorkClass(WorkKind.READ, 1.2)
@@ -148,6 +150,39 @@
     assert np.abs(limits / limits.mean() - 1.0).max() <= 0.1
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_hosts_with_equal_load_answer_within_the_objective(seed):
+    """Load: 183 statements a second, 0.8 of what the target runs, on three hosts."""
+    sim = Sim([Target("p")], [Flow(WRITE, 0.02, 61.0, ("p",))], seed=seed)
+    sim.run(25.0)
+    times = [response_s for at, _, _, response_s in sim.answers if at >= 5.0]
+    assert np.quantile(times, 0.98) < WRITE.objective_s
+
+
+def test_a_short_queue_of_one_host_leaves_the_parts_of_the_others():
+    """Load: three hosts run 1.4 statements each, and ten more wait at one of them."""
+    demands = {}
+    for vm, waiting in (("a", 10), ("b", 0), ("c", 0)):
+        pace = TargetPace(9.0)
+        for number in range(70):
+            pace.on_answer(PaceSample(WRITE, 0.02, 1.0 + 0.01 * number, 1))
+        demands[vm] = pace.demand(waiting, 1.7)
+    assert demands["a"] == pytest.approx(1.4 + 10 * 0.02 / DIVISION_S)
+    assert divide_limit(9.0, demands, "t1") == {"a": 3, "b": 3, "c": 3}
+
+
+@pytest.mark.parametrize("peer_limit, growth", [(6.0, 1.75), (5.0, 1.0)])
+def test_a_limit_grows_by_small_steps_where_a_peer_found_a_lower_one(
+    peer_limit, growth
+):
+    """Load: 100 fast answers a second above the limit, judged four times."""
+    pace = TargetPace(6.0)
+    pace.follow(peer_limit)
+    for number in range(125):
+        pace.on_answer(PaceSample(WRITE, 0.02, 1.0 + 0.01 * number, 20))
+    assert pace.limit == pytest.approx(peer_limit + growth)
+
+
 def test_parts_of_all_hosts_exceed_the_joint_limit_by_at_most_one_each():
     """Load: any demand of one to six hosts."""
     rng = np.random.default_rng(1)
@@ -191,6 +226,27 @@
     assert not peers.of_target("t1", 3.6)
 
 
+def test_the_demand_of_slow_statements_is_kept_between_their_answers():
+    """Load: statements of 2 s, one answer in 2 s, while five wait."""
+    pace = TargetPace(6.0)
+    pace.on_answer(PaceSample(WRITE, 2.0, 1.0, 1))
+    assert pace.demand(5, 1.5) == pytest.approx(2.0 + 5 * 2.0 / DIVISION_S)
+    assert pace.demand(5, 2.5) == pytest.approx(5 * 2.0 / DIVISION_S)
+
+
+def test_a_limit_that_a_target_refused_is_exceeded_by_small_steps():
+    """Load: 100 fast answers a second above the limit after a refusal at it."""
+    pace = TargetPace(6.0)
+    pace.on_refused(0.5)
+    limits = []
+    for number in range(300):
+        pace.on_answer(PaceSample(WRITE, 0.02, 1.0 + 0.01 * number, 20))
+        limits.append(pace.limit)
+    steps = [b - a for a, b in pairwise(limits) if b > a and a >= 6.0]
+    assert len(steps) > 3
+    assert steps[1:] == pytest.approx([0.25] * len(steps[1:]))
+
+
 def test_refusals_shrink_the_limit_once_for_one_full_queue():
     """Load: a target refuses ten statements at once because its queue is full."""
     pace = TargetPace(6.0)
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -394,4 +394,34 @@
         "margin_s = ANSWER_MARGIN_S",
         "test_drain_schedule",
     ),
+    Mutation(
+        "target_pace",
+        "return running + waiting * self._mean_response_s / DIVISION_S",
+        "return running + waiting",
+        "test_target_pace",
+    ),
+    Mutation(
+        "target_pace",
+        "if self.limit < self._regain_limit:",
+        "if True:",
+        "test_target_pace",
+    ),
+    Mutation(
+        "target_pace",
+        "if limit <= self.limit - LOWER_LIMIT:",
+        "if False:",
+        "test_target_pace",
+    ),
+    Mutation(
+        "connection_budget",
+        "RESTART_FRACTION = 0.6",
+        "RESTART_FRACTION = 0.9",
+        "test_statement_queue",
+    ),
+    Mutation(
+        "team_use",
+        "return recent * exp((used_at - now) / DECAY_S)",
+        "return recent",
+        "test_team_use",
+    ),
 )
