--- a/tests/platform_adapter/standin_platform.py
+++ b/tests/platform_adapter/standin_platform.py
@@ -45,7 +45,7 @@
         self._rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
         self._version = 0
         self._changed = threading.Condition()
-        self._server = _HttpServer(self._handle)
+        self._server = HttpServer(self._handle)
         self.address = self._server.address
         self.promote = lambda service, target_id: False
         self.promotions: list[tuple[str, str, str, int]] = []
@@ -72,7 +72,7 @@
         """Stop serving."""
         self._server.close()
 
-    def _handle(self, request: _HttpRequest) -> tuple[int, dict]:
+    def _handle(self, request: HttpRequest) -> tuple[int, dict]:
         path = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(path.query).items()}
         self.calls.append(path.path)
@@ -94,7 +94,7 @@
                 return self._feed(query)
         return 404, {}
 
-    def _promote(self, request: _HttpRequest) -> tuple[int, dict]:
+    def _promote(self, request: HttpRequest) -> tuple[int, dict]:
         body = json.loads(request.body)
         holder = request.headers["Guavabarrow-Lease-Holder"]
         token = int(request.headers["Guavabarrow-Fencing-Token"])
@@ -102,7 +102,7 @@
         accepted = self.promote(body["Service"], body["Id"])
         return (200 if accepted else 409), {}
 
-    def _report_usage(self, request: _HttpRequest) -> tuple[int, dict]:
+    def _report_usage(self, request: HttpRequest) -> tuple[int, dict]:
         body = json.loads(request.body)
         if set(body) != {"WindowId", "Counts"}:
             return 400, {}
@@ -483,23 +483,37 @@
 
 
 @dataclass(frozen=True)
-class _HttpRequest:
+class HttpRequest:
+    """A received HTTP request."""
+
     path: str
     headers: dict[str, str]
     body: bytes
 
 
-class _HttpServer:
-    def __init__(self, handle) -> None:
+class HttpServer:
+    """HTTP server that calls ``respond`` for each request, in a thread.
+
+    No response is sent if ``respond`` raises ConnectionAbortedError.
+    """
+
+    def __init__(self, respond) -> None:
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def handle(self) -> None:
+                try:
+                    super().handle()
+                except ConnectionError:
+                    self.close_connection = True
 
             def _respond(self) -> None:
                 length = int(self.headers.get("Content-Length") or 0)
                 body = self.rfile.read(length)
-                request = _HttpRequest(self.path, dict(self.headers), body)
+                request = HttpRequest(self.path, dict(self.headers), body)
                 try:
-                    status, value = handle(request)
+                    status, value = respond(request)
                 except ConnectionAbortedError:
                     self.close_connection = True
                     return
@@ -520,5 +534,6 @@
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
     def close(self) -> None:
+        """Stop listening."""
         self._server.shutdown()
         self._server.server_close()
