--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -36,6 +37,8 @@
     logs : str, optional
         Folder for the logs, by default a temporary one.
     """
+    # All processes of the run are stopped as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     folder = Path(logs or tempfile.mkdtemp(prefix="soak-"))
     checkout = Path(product) if product else None
     failed = [
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -230,7 +230,7 @@
             is_killed = lifetime.ended_at < request.ended_at + READ_S
             if is_killed and lifetime.ended_at - lifetime.stopped_at < READ_S:
                 continue
-            has_run = request.request_id in self._runs_by_request
+            has_run = bool(self._runs_by_request[request.request_id])
             is_read = not request.detail.startswith(RESET) and (
                 min(request.ended_at, lifetime.ended_at) - request.sent_at > READ_S
             )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,8 +5,8 @@
 import signal
 import threading
 import time
-from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from contextlib import ExitStack, contextmanager
+from typing import TYPE_CHECKING, Any
 
 from soak.operators import pick
 
@@ -111,7 +111,8 @@
         action = pick(
             random,
             [self._kill, self._kill, self._terminate, self._freeze, self._hang_up]
-            + [self._kill_several, self._lose_all, self._return_beside_stale_peer],
+            + [self._kill_several, self._lose_all]
+            + [self._return_beside_stale_peer] * 3,
         )
         action(random)
 
@@ -178,19 +179,32 @@
             self._return(vms, random)
 
     def _return_beside_stale_peer(self, random: Generator) -> None:
-        """Start a VM that the store doesn't answer as a peer wakes that was frozen."""
+        """Start a VM that the store doesn't answer beside a peer that is behind.
+
+        The peer was frozen until then, or had no link to the store and to the others.
+        """
         order = random.permutation(len(self._deployment.vms))
-        returning, stale = (self._deployment.vms[i] for i in order[:2])
+        returning, stale, *others = (self._deployment.vms[i] for i in order)
+        is_frozen = random.random() < 0.5
         with self._refusal([returning], pick(random, ["silent", "503"])):
             returning.kill()
-            with self._fault("freeze", stale.name):
-                stale.send_signal(signal.SIGSTOP)
+            with ExitStack() as faults:
+                if is_frozen:
+                    faults.enter_context(self._fault("freeze", stale.name))
+                    stale.send_signal(signal.SIGSTOP)
+                else:
+                    ends = [vm.name for vm in others] + ["store"]
+                    harm = {"is_silent": True}
+                    faults.enter_context(self._links_harmed(stale.name, ends, harm))
                 time.sleep(random.uniform(0.2, 3.0))
                 self._deployment.operator.change()
                 time.sleep(random.uniform(0.0, 0.5))
                 returning.start()
                 time.sleep(random.uniform(0.0, 1.0))
-                stale.send_signal(signal.SIGCONT)
+                if is_frozen:
+                    stale.send_signal(signal.SIGCONT)
+                else:
+                    time.sleep(random.uniform(0.0, 2.0))
             time.sleep(random.uniform(0.5, 4.0))
 
     @contextmanager
@@ -230,7 +244,6 @@
                     setattr(store, name, type(value)(0))
 
     def _harm_links(self, random: Generator) -> None:
-        network = self._deployment.network
         vm = pick(random, self._deployment.vms).name
         others = [v.name for v in self._deployment.vms if v.name != vm]
         if random.random() < 0.4:
@@ -246,6 +259,15 @@
             + [{"bytes_per_s": 3000.0}, {}],
         )
         directions = int(random.integers(3))
+        with self._links_harmed(vm, others, harm, directions):
+            time.sleep(random.uniform(0.5, 7.0) if harm else 0.0)
+
+    @contextmanager
+    def _links_harmed(
+        self, vm: str, others: list[str], harm: dict[str, Any], directions: int = 2
+    ) -> Iterator[None]:
+        """Harm links of a VM: what it sends (0), what it receives (1) or both (2)."""
+        network = self._deployment.network
         kind = " ".join(harm) or "reset"
         faults = [self._record.begin_fault(kind, vm, other) for other in others]
         try:
@@ -256,7 +278,7 @@
                     network.set_faults(other, vm, **harm)
                 if not harm:
                     network.reset(vm, other)
-            time.sleep(random.uniform(0.5, 7.0) if harm else 0.0)
+            yield
         finally:
             for other, fault in zip(others, faults, strict=True):
                 network.set_faults(vm, other)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -24,7 +24,7 @@
 
 LOG_WINDOW_S = 1.5
 MAX_LOG_LINES = 40
-MAX_REPORTS = 12
+MAX_DESCRIBED_BY_RULE = 4
 FAILURE_EVENTS = ("background_task_failed", "statement_failed_internally", "Traceback")
 
 
@@ -62,9 +62,13 @@
         f" judged {dict(checker.judged)}, answers {dict(codes)}"
     ]
     rules = Counter(violation.rule for violation in violations)
-    report.append(f"seed {seed}: broken {dict(rules)}")
-    for violation in violations[:MAX_REPORTS]:
-        report += describe(violation, deployment, started_at, wall_offset)
+    report.append(f"seed {seed}: violations {dict(rules)}")
+    described: Counter[str] = Counter()
+    for violation in violations:
+        described[violation.rule] += 1
+        lines = describe(violation, deployment, started_at, wall_offset)
+        is_first = described[violation.rule] <= MAX_DESCRIBED_BY_RULE
+        report += lines if is_first else lines[:1]
     (folder / "report.txt").write_text("\n".join(report) + "\n")
     (folder / "faults.txt").write_text(
         "".join(
