--- a/tests/platform_adapter/standin_platform.py
+++ b/tests/platform_adapter/standin_platform.py
@@ -16,6 +16,19 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
+BACKLOG = 128
+"""Connections that wait to be accepted; more of them take a second or longer."""
+
+
+class _TcpServer(socketserver.ThreadingTCPServer):
+    allow_reuse_address = True
+    daemon_threads = True
+    request_queue_size = BACKLOG
+
+
+class _ThreadingHttpServer(ThreadingHTTPServer):
+    request_queue_size = BACKLOG
+
 
 def free_port() -> int:
     """Return an unused TCP port of the loopback address."""
@@ -205,9 +218,7 @@
                 finally:
                     database.connections.discard(self.connection)
 
-        socketserver.ThreadingTCPServer.allow_reuse_address = True
-        self._server = socketserver.ThreadingTCPServer(("127.0.0.1", 0), Handler)
-        self._server.daemon_threads = True
+        self._server = _TcpServer(("127.0.0.1", 0), Handler)
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
@@ -528,8 +539,7 @@
             def log_message(self, *arguments: object) -> None:
                 pass
 
-        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self._server.daemon_threads = True
+        self._server = _ThreadingHttpServer(("127.0.0.1", 0), Handler)
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from numpy import ndarray
     from numpy.random import Generator
 
     from soak.deployment import SoakDeployment, SoakVm
@@ -40,6 +41,8 @@
         self._record = deployment.record
         self._random: Generator = next(randoms)
         self._is_stopped = threading.Event()
+        # Drawn for each run, so that some runs consist mostly of one kind.
+        self._process_weights: ndarray | None = None
         self._errors: list[Exception] = []
         lanes = [
             (self._change, 0.6),
@@ -108,13 +111,18 @@
         return pick(random, self._deployment.vms)
 
     def _harm_processes(self, random: Generator) -> None:
-        action = pick(
-            random,
-            [self._kill, self._kill, self._terminate, self._freeze, self._hang_up]
-            + [self._kill_several, self._lose_all]
-            + [self._return_beside_stale_peer] * 3,
-        )
-        action(random)
+        actions = [
+            self._kill,
+            self._terminate,
+            self._freeze,
+            self._hang_up,
+            self._kill_several,
+            self._lose_all,
+            self._return_beside_stale_peer,
+        ]
+        if self._process_weights is None:
+            self._process_weights = random.dirichlet([0.6] * len(actions))
+        actions[int(random.choice(len(actions), p=self._process_weights))](random)
 
     def _kill(self, random: Generator) -> None:
         self._kill_vms([self._any_vm(random)], random)
@@ -292,9 +300,11 @@
 
     def _harm_databases(self, random: Generator) -> None:
         group = pick(random, self._deployment.groups)
-        database = group.primary
-        if random.random() < 0.4:
-            database = pick(random, group.databases)
+        running = [d for d in group.databases if d.is_running]
+        primaries = [d for d in running if d.is_primary]
+        database = pick(random, running)
+        if primaries and random.random() < 0.6:
+            database = primaries[0]
         network = self._deployment.network
         target_id = database.target_id
         action = random.random()
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -223,9 +223,10 @@
         self.register(database)
 
     def kept_data(self) -> list[str]:
-        """Return the data in the log of the primary."""
+        """Return the data in the log of the newest primary."""
         with self.lock:
-            return [data for _, _, data in self.primary.log]
+            newest = max(self.databases, key=lambda d: (d.is_primary, d.term))
+            return [data for _, _, data in newest.log]
 
     def _expire(self, database: StandInDatabase) -> None:
         if database in self.databases:
