--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,6 +19,7 @@
     duration: float = 40.0,
     product: str | None = None,
     logs: str | None = None,
+    only: str | None = None,
 ) -> None:
     """Run consecutive seeds; exit with 1 if a rule was broken.
 
@@ -36,6 +37,10 @@
         Checkout whose product code is run, by default the installed one.
     logs : str, optional
         Folder for the logs, by default a temporary one.
+    only : str, optional
+        The only kind of fault, by default all: ``kill``, ``kill_several``,
+        ``terminate``, ``freeze``, ``lose_all``, ``return_beside_stale_peer``,
+        ``harm_store``, ``harm_links`` or ``harm_databases``.
     """
     # All processes of the run are stopped as well.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -44,7 +49,9 @@
     failed = [
         number
         for number in range(seed, seed + runs)
-        if not run_soak(number, vms, duration, checkout, folder / f"seed-{number}")
+        if not run_soak(
+            number, vms, duration, checkout, folder / f"seed-{number}", only
+        )
     ]
     print(f"{runs - len(failed)} of {runs} runs passed; failed: {failed}; {folder}")
     sys.exit(1 if failed else 0)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -19,6 +19,9 @@
 TURNED_AWAY_APPLY_S = 15.0
 REGRESS_SLACK_S = 0.25
 CONTACT_S = 4.0
+REACH_S = 1.5
+"""Time in which a VM learns from the store what it missed while out of reach, in s."""
+
 EVACUATION_S = 5.0
 GRACE_S = 6.0
 READ_S = 0.2
@@ -149,14 +152,14 @@
             other.vm
             for other in self._record.lifetimes
             if other.vm != lifetime.vm
-            and other.started_at < lifetime.started_at - CONTACT_S
+            and other.started_at < lifetime.started_at - REACH_S
             and other.ended_at > end
         }
         if self._is_clear(lifetime.started_at, end, lifetime.vm, "store"):
             return True
         return any(
             self._is_clear(lifetime.started_at, end, lifetime.vm, other)
-            and self._is_clear(lifetime.started_at - CONTACT_S, end, other, "store")
+            and self._is_clear(lifetime.started_at - REACH_S, end, other, "store")
             for other in others
         )
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,9 +34,13 @@
         Deployment to harm.
     randoms : iterator of Generator
         Sources of the choices of the lanes.
+    only : str or None
+        Name of the only kind of fault, as ``return_beside_stale_peer``.
     """
 
-    def __init__(self, deployment: SoakDeployment, randoms) -> None:
+    def __init__(
+        self, deployment: SoakDeployment, randoms, only: str | None = None
+    ) -> None:
         self._deployment = deployment
         self._record = deployment.record
         self._random: Generator = next(randoms)
@@ -51,10 +55,12 @@
             (self._harm_links, 2.0),
             (self._harm_databases, 5.0),
         ]
+        if only is not None:
+            lanes = [(self._change, 0.6), (getattr(self, f"_{only}"), 1.0)]
         self._threads = []
         for lane, pause_s in lanes:
             random = next(randoms)
-            is_chosen = random.random() < LANE_PROBABILITY
+            is_chosen = only is not None or random.random() < LANE_PROBABILITY
             if is_chosen or lane == self._change:
                 arguments = (lane, random, pause_s * random.uniform(0.5, 2.0))
                 self._threads.append(
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -29,7 +29,12 @@
 
 
 def run_soak(
-    seed: int, vm_count: int, duration_s: float, product: Path | None, folder: Path
+    seed: int,
+    vm_count: int,
+    duration_s: float,
+    product: Path | None,
+    folder: Path,
+    only: str | None = None,
 ) -> bool:
     """Run one seed, print the outcome and return whether no rule was broken."""
     folder.mkdir(parents=True, exist_ok=True)
@@ -39,7 +44,7 @@
     try:
         deployment.start()
         started_at = time.monotonic()
-        injector = FaultInjector(deployment, randoms)
+        injector = FaultInjector(deployment, randoms, only)
         load = Load(deployment, randoms)
         load.start()
         watch_processes(deployment)
