--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -41,6 +41,7 @@
         self._number = 0
         self._lifetime = vm.number_of_lifetime
         self._operation_at: float | None = None
+        self._is_in_transaction = False
         self._socket = socket.create_connection(vm.front, timeout=ANSWER_TIMEOUT_S)
         self._file = self._socket.makefile("rb")
         if vm.number_of_lifetime != self._lifetime:
@@ -84,6 +85,11 @@
         """End a transaction."""
         self._operation_at = None
 
+    def roll_back(self) -> None:
+        """Roll back the transaction if it is open or has failed."""
+        if self._is_in_transaction:
+            self.execute("ROLLBACK")
+
     def next_id(self) -> str:
         """Return the id of the next request."""
         return f"{self._prefix}-{self._number + 1}"
@@ -120,7 +126,8 @@
                 word, _, detail = detail.partition(" ")
             request.code, request.detail = word, detail
             if word and line.startswith("QUERY") and word not in REFUSAL_CODES:
-                self._file.readline()
+                ready = self._file.readline().decode().split(" ")
+                self._is_in_transaction = ready[1:2] != ["I"]
         except TimeoutError:
             request.code = "SILENCE"
         except OSError as error:
@@ -267,7 +274,7 @@
                     writes.append(write)
                     answer = session.execute(f"WRITE i{write.request_id} {write.data}")
                 if answer.code != "COMPLETE":
-                    session.execute("ROLLBACK")
+                    session.roll_back()
                     return
             if random.random() < 0.15:
                 session.execute("ROLLBACK")
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -184,6 +184,8 @@
                 for team, keys in self.keys_by_team.items()
             ],
         }
+        while self.store.is_down or self.store.is_silent:
+            time.sleep(0.01)
         sent_at = time.monotonic()
         services = dict(self.service_by_database)
         teams = {key: team for team, keys in self.keys_by_team.items() for key in keys}
