--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -103,6 +103,10 @@
                 return evacuation
         return None
 
+    def _wait_for_store(self) -> None:
+        while self.store.is_down or self.store.is_silent:
+            time.sleep(0.01)
+
     def _name(self, prefix: str) -> str:
         self._names += 1
         return f"{prefix}{self._names}x{int(self.random.integers(16**4)):x}"
@@ -184,8 +188,7 @@
                 for team, keys in self.keys_by_team.items()
             ],
         }
-        while self.store.is_down or self.store.is_silent:
-            time.sleep(0.01)
+        self._wait_for_store()
         sent_at = time.monotonic()
         services = dict(self.service_by_database)
         teams = {key: team for team, keys in self.keys_by_team.items() for key in keys}
