--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -101,11 +101,13 @@
         self._stop: Fault | None = None
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process, unless it runs."""
         record = self._deployment.record
         environment = {**os.environ, "GUAVABARROW_SETTINGS": str(self._settings)}
         environment.update(self._deployment.product_environment)
         with self.lock, self.log.open("ab") as log, record.lock:
+            if self.process is not None and self.process.poll() is None:
+                return
             self.lifetime = Lifetime(self.name, time.monotonic())
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "guavabarrow_platform"],
@@ -131,21 +133,20 @@
             self._record_stop("kill")
             self.send_signal(signal.SIGKILL)
             self.process.wait()
-            self.lifetime.ended_at = time.monotonic()
+            self._record_end()
 
-    def terminate(self) -> int | None:
+    def terminate(self) -> None:
         """Stop the process as planned; kill it after the grace period."""
         with self.lock:
             if self.process is None:
-                return None
+                return
             self._record_stop("terminate")
             self.send_signal(signal.SIGTERM)
             try:
                 self.process.wait(GRACE_S)
             except subprocess.TimeoutExpired:
                 self.kill()
-            self.lifetime.ended_at = time.monotonic()
-            return self.process.returncode
+            self._record_end()
 
     def note_own_end(self) -> None:
         """Record if the process ended although nobody stopped it."""
@@ -160,6 +161,9 @@
         finally:
             self.lock.release()
 
+    def _record_end(self) -> None:
+        self.lifetime.ended_at = min(self.lifetime.ended_at, time.monotonic())
+
     def _record_stop(self, kind: str) -> None:
         self.lifetime.stopped_at = min(self.lifetime.stopped_at, time.monotonic())
         if self._stop is None:
@@ -228,6 +232,11 @@
                 raise TimeoutError(f"the VMs did not become ready: {self.folder}")
             time.sleep(0.1)
 
+    def note_own_ends(self) -> None:
+        """Record processes that ended although nobody stopped them."""
+        for vm in self.vms:
+            vm.note_own_end()
+
     def close(self) -> None:
         """Stop everything."""
         for vm in self.vms:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,15 @@
 MAX_CHANGE_LEAD_S = 0.4
 """Maximum time between a confirmed change and the loss of all VMs, in s."""
 
+PROCESS_FAULTS = (
+    "kill",
+    "terminate",
+    "freeze",
+    "hang_up",
+    "kill_several",
+    "lose_all",
+    "return_beside_stale_peer",
+)
 LANE_PROBABILITY = 0.8
 """Probability that a run has faults of one kind."""
 
@@ -46,7 +55,8 @@
         self._random: Generator = next(randoms)
         self._is_stopped = threading.Event()
         # Drawn for each run, so that some runs consist mostly of one kind.
-        self._process_weights: ndarray | None = None
+        weights = self._random.dirichlet([0.6] * len(PROCESS_FAULTS))
+        self._process_weights: ndarray = weights
         self._errors: list[Exception] = []
         lanes = [
             (self._change, 0.6),
@@ -54,6 +64,7 @@
             (self._harm_store, 2.5),
             (self._harm_links, 2.0),
             (self._harm_databases, 5.0),
+            (self._harm_processes, 3.0),
         ]
         if only is not None:
             lanes = [(self._change, 0.6), (getattr(self, f"_{only}"), 1.0)]
@@ -117,18 +128,8 @@
         return pick(random, self._deployment.vms)
 
     def _harm_processes(self, random: Generator) -> None:
-        actions = [
-            self._kill,
-            self._terminate,
-            self._freeze,
-            self._hang_up,
-            self._kill_several,
-            self._lose_all,
-            self._return_beside_stale_peer,
-        ]
-        if self._process_weights is None:
-            self._process_weights = random.dirichlet([0.6] * len(actions))
-        actions[int(random.choice(len(actions), p=self._process_weights))](random)
+        action = random.choice(PROCESS_FAULTS, p=self._process_weights)
+        getattr(self, f"_{action}")(random)
 
     def _kill(self, random: Generator) -> None:
         self._kill_vms([self._any_vm(random)], random)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -8,11 +8,13 @@
 from typing import TYPE_CHECKING
 
 import numpy as np
+from twisted.internet.task import LoopingCall
 
 from soak.callers import Load, Session, SessionEnded
 from soak.checks import Checker, Violation
 from soak.deployment import SoakDeployment
 from soak.faults import FaultInjector
+from soak.network import reactor
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -22,6 +24,7 @@
 RECOVERY_S = 12.0
 """Time after the last fault from which everything must be served, in s."""
 
+WATCH_INTERVAL_S = 0.1
 LOG_WINDOW_S = 1.5
 MAX_LOG_LINES = 40
 MAX_DESCRIBED_BY_RULE = 4
@@ -47,15 +50,16 @@
         injector = FaultInjector(deployment, randoms, only)
         load = Load(deployment, randoms)
         load.start()
-        watch_processes(deployment)
+        watch = LoopingCall(deployment.note_own_ends)
+        reactor.callFromThread(watch.start, WATCH_INTERVAL_S)
         injector.run(duration_s)
         time.sleep(RECOVERY_S)
         violations = check_recovery(deployment)
         load.stop()
         record = deployment.record
         record.kept_data = [d for group in deployment.groups for d in group.kept_data()]
-        for vm in deployment.vms:
-            vm.note_own_end()
+        reactor.callFromThread(watch.stop)
+        deployment.note_own_ends()
     finally:
         deployment.close()
     checker = Checker(record)
@@ -86,20 +90,6 @@
     return not any(violation.is_broken for violation in violations)
 
 
-def watch_processes(deployment: SoakDeployment) -> None:
-    """Note processes that end by themselves, in the thread of the relays."""
-    from twisted.internet.task import LoopingCall
-
-    from soak.network import reactor
-
-    def check() -> None:
-        for vm in deployment.vms:
-            vm.note_own_end()
-
-    loop = LoopingCall(check)
-    reactor.callFromThread(loop.start, 0.1)
-
-
 def check_recovery(deployment: SoakDeployment) -> list[Violation]:
     """Ask each VM for each database, a removed one, and with a withdrawn key."""
     version = deployment.operator.version
