--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/installed
 
-.PHONY: demo test bench mutations clean
+.PHONY: demo test bench mutations soak clean
 
 demo: $(STAMP)
 	$(BIN)/guavabarrow demo
@@ -21,6 +21,10 @@
 mutations: $(STAMP)
 	PYTHONPATH=tests $(BIN)/python -m mutations
 
+# For example: make soak SOAK="--seed 7 --runs 5"
+soak: $(STAMP)
+	PYTHONPATH=tests $(BIN)/python -m soak $(SOAK)
+
 $(STAMP): constraints.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	# Built in isolation where there is no wheel for the machine, as on arm64.
