--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,7 +29,12 @@
     "kill_several",
     "lose_all",
     "return_beside_stale_peer",
+    "return_to_slow_store",
 )
+SLOW = "slow"
+SLOW_STORE_S = 0.2
+"""Delay of calls to a slow store, and of its answers, in s."""
+
 LANE_PROBABILITY = 0.8
 """Probability that a run has faults of one kind."""
 
@@ -194,7 +199,15 @@
             self._return(vms, random)
 
     def _return_beside_stale_peer(self, random: Generator) -> None:
-        """Start a VM that the store doesn't answer beside a peer that is behind.
+        """Start a VM that the store doesn't answer beside a peer that is behind."""
+        self._start_beside_stale_peer(random, ["silent", "503"])
+
+    def _return_to_slow_store(self, random: Generator) -> None:
+        """Start a VM that the store answers late beside a peer that is behind."""
+        self._start_beside_stale_peer(random, [SLOW])
+
+    def _start_beside_stale_peer(self, random: Generator, modes: list[str]) -> None:
+        """Start a VM beside a peer that is behind.
 
         The peer was frozen until then, or had no link to the store and to the others.
         """
@@ -202,7 +215,12 @@
         returning, stale, *rest = (self._deployment.vms[i] for i in order)
         others = [vm.name for vm in rest]
         is_frozen = random.random() < 0.3
-        with self._refusal([returning], pick(random, ["silent", "503"])):
+        mode = pick(random, modes)
+        with (
+            self._links_harmed(returning.name, ["store"], {"delay_s": SLOW_STORE_S})
+            if mode == SLOW
+            else self._refusal([returning], mode)
+        ):
             returning.kill()
             with ExitStack() as faults:
                 if is_frozen:
