--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -194,3 +194,20 @@
     record = make_record()
     record.lifetimes[0].has_failed = True
     assert broken_rules(record) == {"PROCESS"}
+
+
+def test_a_request_that_was_not_read_needs_no_answer():
+    record = make_record()
+    add_request(record, 120.0, "", ended_at=120.1)
+    add_request(record, 121.0, "", ended_at=122.0, detail="reset: by peer")
+    assert broken_rules(record) == set()
+    add_request(record, 123.0, "", ended_at=123.3)
+    assert broken_rules(record) == {"LOST answer"}
+
+
+def test_a_slow_store_can_be_reached():
+    record = make_record()
+    record.lifetimes = [Lifetime("vm-1", 110.2)]
+    record.faults = [Fault("delay_s", ("vm-1", "store"), 105.0, 120.0)]
+    add_run(record, add_request(record, 110.9, key="key"), "orders")
+    assert broken_rules(record) == {"LOST"}
