Announce the age of orders only where it is news, and ask for it less often

Cause: each heartbeat carried the age of the operators' table, and a relayed copy that was 1.8 s old was asked for at any VM with a newer one, though an observer confirms its own only once in 1.2 s.

Change: only VMs that read the table from the store announce its age, and others are asked beyond 2.4 s, or while the orders are unconfirmed.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -88,7 +88,7 @@
         Newest row versions in the sender's copies of the shared and the operators'
         table.
     orders_age_s : float
-        Age of the sender's copy of the operators' table, in s.
+        Age of the sender's copy of the operators' table, in s, if it reads it itself.
     directory_age_s : float
         Age of the sender's list of targets, in s.
     directory_change : int
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -626,7 +626,7 @@
             "store_age_s": self.table_age_s(),
             "rows_version": self.state.rows_version,
             "orders_version": self.orders.rows.newest_version,
-            "orders_age_s": round(min(UNKNOWN_AGE_S, self.orders.age_s), 3),
+            "orders_age_s": self._announced_orders_age_s(),
             "is_leaving": self.is_leaving,
         }
         draft = HeartbeatDraft(common, is_greeting)
@@ -634,6 +634,15 @@
             fill(draft)
         return draft
 
+    def _announced_orders_age_s(self) -> float:
+        """Return the age of the operators' table for heartbeats, in s.
+
+        Only VMs that read it themselves announce one; the others learn nothing sooner.
+        """
+        if self.orders.read_age_s > MAX_RELAYED_AGE_S:
+            return UNKNOWN_AGE_S
+        return round(self.orders.age_s, 3)
+
     def merge_relayed_rows(self, rows: list[SharedRow]) -> None:
         """Store rows of another VM that are newer than the cached ones."""
         self._merge_rows(rows)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
@@ -13,7 +13,7 @@
 from loguru import logger
 from twisted.internet.defer import Deferred
 
-from guavabarrow_core.operator_rows import OperatorRows
+from guavabarrow_core.operator_rows import NEVER, OperatorRows
 from guavabarrow_core.session_configuration import SessionConfiguration
 from guavabarrow_daemon.decoding import UndecodableValue
 from guavabarrow_daemon.operations.clock import now_s
@@ -78,6 +78,7 @@
         self._received_from = ""
         self._order_by_key: dict[str, SessionConfiguration | Evacuation | None] = {}
         self._undecodable_version_by_key: dict[str, int] = {}
+        self._read_at = NEVER
         self._turned_at = now_s()
         self._unconfirmed_since = self._turned_at
         self._is_confirmed = False
@@ -95,6 +96,11 @@
         """Time since the rows were last known to be complete, in s."""
         return now_s() - self.rows.as_of
 
+    @property
+    def read_age_s(self) -> float:
+        """Time since this VM read the table from the store, in s."""
+        return now_s() - self._read_at
+
     @property
     def received_version(self) -> int:
         """Version of the newest row received, up to which other VMs aren't asked.
@@ -140,8 +146,9 @@
     def _apply_reading(
         self, reading: TableReadResult, sent_at: float, *, is_full: bool
     ) -> None:
+        self._read_at = now_s()
         self._clock.observe(
-            store_s=reading.store_s, sent_at=sent_at, received_at=now_s()
+            store_s=reading.store_s, sent_at=sent_at, received_at=self._read_at
         )
         self.apply(
             reading.rows,
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -38,7 +38,11 @@
 """Interval at which a VM requests the tables from its observer."""
 
 STALE_AFTER_S = 1.8
-"""Age of a copy of a table beyond which any VM with a newer one is asked."""
+"""Age of the shared table beyond which any VM with a newer one is asked."""
+
+STALE_ORDERS_AFTER_S = 2.4
+"""The same for the operators' table: an observer confirms its copy once in 1.2 s, and
+is asked for it within the interval of requests."""
 
 MIN_LEAD_S = 0.3
 """Such a VM is asked if its copy is newer by at least this much. After its answer, it
@@ -201,8 +205,13 @@
     def _has_newer_rows(self, vm: str, heartbeat: PeerHeartbeat) -> bool:
         """Return whether a VM has rows that this one should request from it."""
         fleet = self._fleet
-        is_ahead = _is_ahead(heartbeat.store_age_s, fleet.table_age_s()) or _is_ahead(
-            heartbeat.orders_age_s, fleet.orders.age_s
+        lead_s = fleet.table_age_s() - heartbeat.store_age_s
+        orders_lead_s = fleet.orders.age_s - heartbeat.orders_age_s
+        are_orders_stale = (
+            fleet.orders.age_s > STALE_ORDERS_AFTER_S or not fleet.orders.is_confirmed()
+        )
+        is_ahead = (fleet.table_age_s() > STALE_AFTER_S and lead_s > MIN_LEAD_S) or (
+            are_orders_stale and orders_lead_s > MIN_LEAD_S
         )
         is_source = is_ahead or vm == fleet.observer()
         has_newer = (
@@ -328,11 +337,6 @@
         state.accept_sponsorship(vm, self._links.incarnation_of(vm), sent_at)
 
 
-def _is_ahead(age_s: float, own_age_s: float) -> bool:
-    """Return whether another VM's copy of a table is newer than an old one here."""
-    return own_age_s > STALE_AFTER_S and age_s < own_age_s - MIN_LEAD_S
-
-
 def _to_table_row(row: SharedRow) -> TableRow:
     return TableRow(row.key, row.value, row.version)
 
