Relay rows that only other VMs can decode, and request by complete version

Cause: a VM that can't decode the newest configuration kept no row of it, but declared its copy complete. A VM of a later version took over that version and watched from there, so it never got the row; if the sender had no older configuration, the row was deleted at the receiver. A request named the newest row received; after a full read of several pages an older change of another row may be missing then, and the answer's version hid it.

Change: undecodable rows are kept as they are, relayed, and listed among the keys. Requests name the version up to which the copy is complete.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
@@ -77,7 +77,7 @@
         self._received: SessionConfiguration | None = None
         self._received_from = ""
         self._order_by_key: dict[str, SessionConfiguration | Evacuation | None] = {}
-        self._undecodable_version_by_key: dict[str, int] = {}
+        self._undecodable_by_key: dict[str, TableRow] = {}
         self._turned_at = now_s()
         self._unconfirmed_since = self._turned_at
         self._is_confirmed = False
@@ -104,9 +104,45 @@
         """
         if self._received is None:
             return 0
-        undecodable = self._undecodable_version_by_key.values()
+        undecodable = [row.version for row in self._undecodable_by_key.values()]
         return max(self.rows.newest_version, *undecodable, 0)
 
+    @property
+    def request_version(self) -> int:
+        """Version after which rows are requested from other VMs.
+
+        The pages of a full read are not of one moment: a row may be known that is newer
+        than one that is not.
+        """
+        if self.rows.version == 0:
+            return self.received_version
+        return min(self.rows.version, self.received_version)
+
+    # Relaying rows
+
+    def newer_than(self, version: int) -> list[TableRow]:
+        """Return the rows that changed after a version, oldest first.
+
+        Undecodable rows are included, as the other VM may run a version that decodes
+        them; without them its copy wouldn't be complete.
+        """
+        undecodable = [row for row in self._live_undecodable() if row.version > version]
+        rows = [*self.rows.newer_than(version), *undecodable]
+        return sorted(rows, key=lambda row: row.version)
+
+    def live_keys(self) -> list[str]:
+        """Return the keys of all rows of the table, sorted."""
+        undecodable = {row.key for row in self._live_undecodable()}
+        return sorted(undecodable.union(self.rows.live_keys()))
+
+    def _live_undecodable(self) -> list[TableRow]:
+        known = self.rows.row_by_key
+        return [
+            row
+            for key, row in self._undecodable_by_key.items()
+            if key not in known or known[key].version < row.version
+        ]
+
     # Receiving rows
 
     async def read(self, wait_s: float) -> None:
@@ -194,6 +230,8 @@
     ) -> None:
         """Apply rows, and what is known of the copy that they come from."""
         changed = self.rows.merge(self._decode_newer(rows))
+        if live_keys is not None and version >= max(self.rows.version, 1):
+            self._drop_undecodable(version, live_keys)
         if version > 0:
             changed += self.rows.complete(
                 version, as_of=as_of, store_s=store_s, live_keys=live_keys
@@ -207,7 +245,7 @@
         newer = []
         for row in rows:
             is_replaceable = (
-                row.key in self._undecodable_version_by_key
+                row.key in self._undecodable_by_key
                 and row.key not in self.rows.row_by_key
             )
             if not self.rows.lacks(row) and not is_replaceable:
@@ -222,12 +260,18 @@
         return newer
 
     def _reject(self, row: TableRow, error: UndecodableValue) -> None:
-        if row.version > self._undecodable_version_by_key.get(row.key, 0):
-            self._undecodable_version_by_key[row.key] = row.version
+        known = self._undecodable_by_key.get(row.key)
+        if known is None or row.version > known.version:
+            self._undecodable_by_key[row.key] = row
             logger.bind(key=row.key, row_version=row.version, error=str(error)).error(
                 "configuration_unreadable"
             )
 
+    def _drop_undecodable(self, version: int, live_keys: Collection[str]) -> None:
+        for key, row in list(self._undecodable_by_key.items()):
+            if key not in live_keys and row.version <= version:
+                del self._undecodable_by_key[key]
+
     def _receive(self, changed: list[TableRow], source: str) -> None:
         for row in changed:
             if row.value is None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -163,7 +163,7 @@
         request = TableRequest(
             self._last_number,
             self._fleet.state.rows_version,
-            self._fleet.orders.received_version,
+            self._fleet.orders.request_version,
             self._directory.list_digest,
             wants_sponsor,
         )
@@ -246,7 +246,9 @@
             if row.version > request.rows_version
         ]
         copy = fleet.orders.rows
-        orders = [self._pack(row) for row in copy.newer_than(request.orders_version)]
+        orders = [
+            self._pack(row) for row in fleet.orders.newer_than(request.orders_version)
+        ]
         is_current = request.directory_change == self._directory.list_digest
         answer = TableAnswer(
             number=request.number,
@@ -259,7 +261,7 @@
             orders=orders,
             orders_read_version=copy.version,
             orders_store_s=copy.store_s,
-            order_keys=copy.live_keys(),
+            order_keys=fleet.orders.live_keys(),
             directory_age_s=self._directory.age_s,
             directory_change=self._directory.list_digest,
             targets=None if is_current else self._directory.entries(),
