Have operations of open transactions wait for confirmed orders

Cause: only operations that begin waited after a suspension; statements and commits of open transactions ran for a key that had been withdrawn. An operation whose wait ended during a second suspension was refused by the older orders.

Change: statements of open transactions wait as well; if the transaction was given up meanwhile, they are not run. The wait is repeated until the orders are confirmed.

Measured: the seven new tests of test_route_in_force failed before and pass; test_hosted_route_in_force passes.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -153,8 +153,11 @@
             raise SessionError(FailureCode.MALFORMED, "unknown statement")
         if self.state is TransactionState.FAILED:
             return self._handle_after_failure(kind)
-        if self.state is TransactionState.IDLE:
-            await self._admission.wait_for_orders()
+        state = self.state
+        await self._admission.wait_for_orders()
+        if self.state is not state:
+            raise SessionError(FailureCode.ABORTED, STOPPING_DETAIL)
+        if state is TransactionState.IDLE:
             self._start_operation(received_at)
         elif self._admission.is_withdrawn(self.key, self.database):
             raise SessionError(FailureCode.ABORTED, "the key was withdrawn")
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
@@ -55,7 +55,7 @@
 
     async def wait_for_orders(self) -> None:
         """Wait until operations may begin by the configuration in force."""
-        if not self.has_confirmed_orders():
+        while not self.has_confirmed_orders():
             await self._fleet.orders.when_confirmed()
 
     def look_up(self, database: str, key: str) -> tuple[Route, str]:
--- a/packages/guavabarrow-daemon/tests/sim_routes.py
+++ b/packages/guavabarrow-daemon/tests/sim_routes.py
@@ -63,7 +63,14 @@
 
     def __init__(self, kernel: Kernel) -> None:
         Service.__init__(self, kernel)
-        self.orders = SimpleNamespace(is_confirmed=lambda: True)
+        self.waiting: list[Deferred[None]] = []
+        self.orders = SimpleNamespace(
+            is_confirmed=lambda: True, when_confirmed=self._wait, configuration=object()
+        )
+
+    def _wait(self) -> Deferred[None]:
+        self.waiting.append(Deferred())
+        return self.waiting[-1]
 
     def table_age_s(self) -> float:
         return 0.0
--- a/packages/guavabarrow-daemon/tests/test_route_in_force.py
+++ b/packages/guavabarrow-daemon/tests/test_route_in_force.py
@@ -354,3 +354,61 @@
             "configuration": 2,
         },
     )
+
+
+def suspend(vm: RoutedVm) -> None:
+    """Have the orders count as unconfirmed, as after a suspension."""
+    vm.fleet.orders.is_confirmed = lambda: False
+
+
+def confirm(vm: RoutedVm) -> None:
+    """Confirm the orders, as a copy of a later moment does."""
+    vm.fleet.orders.is_confirmed = lambda: True
+    waiting, vm.fleet.waiting = vm.fleet.waiting, []
+    for waiter in waiting:
+        waiter.callback(None)
+
+
+@pytest.mark.parametrize("text", ["READ a", "WRITE a 1", "COMMIT"])
+def test_an_open_transaction_waits_for_confirmed_orders(text):
+    """After a suspension its next statement ran for a key that had been withdrawn."""
+    vm = RoutedVm()
+    vm.send("BEGIN")
+    vm.send("WRITE x 1")
+    sent = len(vm.exchange.sent)
+    suspend(vm)
+    outcome = vm.send(text)
+    assert outcome == []
+    vm.fleet.configuration = configuration(team="")
+    confirm(vm)
+    assert outcome == [FailureCode.ABORTED.value]
+    assert len(vm.exchange.sent) == sent
+
+
+@pytest.mark.parametrize("text", ["READ a", "WRITE a 1", "COMMIT"])
+def test_a_statement_whose_transaction_ends_while_it_waits_does_not_run(text):
+    """The VM stops and promises that nothing of the transaction is kept."""
+    vm = RoutedVm()
+    vm.send("BEGIN")
+    vm.send("WRITE x 1")
+    sent = len(vm.exchange.sent)
+    suspend(vm)
+    outcome = vm.send(text)
+    vm.session.give_up_transaction()
+    confirm(vm)
+    assert outcome == [FailureCode.ABORTED.value]
+    assert len(vm.exchange.sent) == sent
+
+
+def test_an_operation_waits_again_after_a_second_suspension():
+    vm = RoutedVm()
+    suspend(vm)
+    outcome = vm.send("READ a")
+    waiting, vm.fleet.waiting = vm.fleet.waiting, []
+    vm.fleet.configuration = configuration(team="")
+    for waiter in waiting:
+        waiter.callback(None)
+    assert outcome == []
+    vm.fleet.configuration = configuration()
+    confirm(vm)
+    assert outcome == ["completed"]
