Recognize a suspension during a start or a wait, and none in late heartbeats

Cause: time-outs run before any statement after a suspension, so a wait that ended during it confirmed the older orders. A suspension before the first confirmation was not noticed, and a copy from before it confirmed the orders. Turns of an idle VM's event loop were recorded by heartbeats only, every 0.7 s, so a heartbeat 0.31 s late counted as a suspension and cost a call of the store.

Change: time-out and confirmation record a turn first; a suspension begins another wait, three in a row at most, also during a start. Turns are recorded every 0.25 s.

Measured: test_an_idle_vm_that_stands_still_for_half_a_second_was_not_ suspended and the two new tests of test_orders_confirmation failed before and pass.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -69,6 +69,10 @@
 """Delay before a retry after a failed store request."""
 
 HEARTBEAT_INTERVAL_S = 0.7
+TURN_INTERVAL_S = 0.25
+"""Interval at which turns of the event loop are recorded. It is far less than
+``SUSPENDED_AFTER_S``, so that a late heartbeat of an idle VM isn't a suspension."""
+
 MIN_HEARTBEAT_INTERVAL_S = 0.03
 """Minimum interval between a heartbeat sent for a change and the one before it."""
 
@@ -184,6 +188,7 @@
         self._is_heartbeat_due = False
         self._is_store_reachable: bool | None = None
         self._heartbeat_loop: LoopingCall | None = None
+        self._turn_loop: LoopingCall | None = None
 
     async def start(self) -> None:
         """Start watching both tables and sending heartbeats."""
@@ -198,13 +203,18 @@
             "heartbeat", self._send_heartbeat, self._reactor
         )
         self._heartbeat_loop.start(HEARTBEAT_INTERVAL_S, now=False)
+        self._turn_loop = tasks.create_periodic(
+            "turn", self.orders.record_turn, self._reactor
+        )
+        self._turn_loop.start(TURN_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
         """Stop watching and sending; targets and callers are disconnected already."""
         self.is_stopping = True
         self._links.broadcast(Departure(self.state.incarnation))
-        if self._heartbeat_loop is not None and self._heartbeat_loop.running:
-            self._heartbeat_loop.stop()
+        for loop in (self._heartbeat_loop, self._turn_loop):
+            if loop is not None and loop.running:
+                loop.stop()
 
     def announce_leaving(self) -> None:
         """Tell the other VMs that this one stops as planned and takes no new work."""
@@ -595,7 +605,6 @@
         self._heartbeat_sent_at = now_s()
         self._is_heartbeat_due = False
         age_s = self.table_age_s()
-        self.orders.record_turn()
         metrics = self.kernel.find(SessionMetrics)
         metrics.store_age.set(age_s)
         metrics.orders_age.set(round(min(UNKNOWN_AGE_S, self.orders.age_s), 3))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
@@ -35,6 +35,10 @@
 RESUME_CONFIRM_TIMEOUT_S = 0.5
 """Longest wait after a suspension, which a statement spends of its timeout."""
 
+MAX_CONFIRM_WAITS = 3
+"""Such waits in a row. A suspension during one begins another, and a VM that is often
+suspended and reaches nobody has to serve at some time."""
+
 SUSPENDED_AFTER_S = 1.0
 """Time without a turn of the event loop after which it counts as suspended."""
 
@@ -83,6 +87,7 @@
         self._is_confirmed = False
         self._has_been_confirmed = False
         self._timeout: Any = None
+        self._waits = 0
         self._waiting: list[Deferred[None]] = []
 
     @property
@@ -325,7 +330,10 @@
         now = now_s()
         suspended_s = now - self._turned_at
         self._turned_at = now
-        if suspended_s <= SUSPENDED_AFTER_S or not self._has_been_confirmed:
+        if suspended_s <= SUSPENDED_AFTER_S:
+            return
+        if self._received is None:
+            self._unconfirmed_since = now
             return
         log_decision(
             "orders_unconfirmed",
@@ -334,7 +342,11 @@
         )
         self._is_confirmed = False
         self._unconfirmed_since = now
-        self._limit_wait(RESUME_CONFIRM_TIMEOUT_S)
+        self._limit_wait(
+            RESUME_CONFIRM_TIMEOUT_S
+            if self._has_been_confirmed
+            else START_CONFIRM_TIMEOUT_S
+        )
         for callback in self.on_unconfirmed:
             callback()
 
@@ -345,7 +357,10 @@
         return waiting
 
     def _follow_confirmation(self) -> None:
-        if self._is_confirmed or self._received is None:
+        if self._is_confirmed:
+            return
+        self.record_turn()
+        if self._received is None:
             return
         if self.rows.as_of >= self._unconfirmed_since:
             self._set_confirmed("copy")
@@ -354,9 +369,16 @@
 
     def _limit_wait(self, timeout_s: float) -> None:
         self._cancel_timeout()
-        self._timeout = self._reactor.callLater(
-            timeout_s, self._set_confirmed, "timeout"
-        )
+        self._waits += 1
+        self._timeout = self._reactor.callLater(timeout_s, self._on_timeout)
+
+    def _on_timeout(self) -> None:
+        self._timeout = None
+        if self._waits < MAX_CONFIRM_WAITS:
+            # Timers run before anything else after a suspension.
+            self.record_turn()
+        if self._timeout is None:
+            self._set_confirmed("timeout")
 
     def _cancel_timeout(self) -> None:
         if self._timeout is not None and self._timeout.active():
@@ -365,6 +387,7 @@
 
     def _set_confirmed(self, reason: str) -> None:
         self._cancel_timeout()
+        self._waits = 0
         is_first = not self._has_been_confirmed
         self._is_confirmed = self._has_been_confirmed = True
         log_decision("orders_confirmed", reason=reason, age_s=round(self.age_s, 2))
--- a/packages/guavabarrow-daemon/tests/test_operator_orders.py
+++ b/packages/guavabarrow-daemon/tests/test_operator_orders.py
@@ -19,6 +19,7 @@
 )
 from sim_platform import publish_unreadable_configuration
 
+from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 
 OBSERVERS = ("east-0", "north-0", "west-0")
@@ -328,6 +329,21 @@
     assert time_behind_after_waking(fleet, name) <= WAKE_S
 
 
+def test_an_idle_vm_that_stands_still_for_half_a_second_was_not_suspended(fleet):
+    """Only heartbeats showed that it ran; each late one cost a call of the store."""
+    suspended = []
+    for name, vm in fleet.vm_by_name.items():
+        vm.kernel.find(FleetService).orders.on_unconfirmed.append(
+            lambda name=name: suspended.append(name)
+        )
+    for _ in range(6):
+        fleet.suspend(*fleet.names)
+        fleet.run(0.5)
+        fleet.resume()
+        fleet.run(0.43)
+    assert suspended == []
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_a_configuration_is_in_force_within_half_a_second_without_faults(fleet, seed):
     """Heartbeats soon after an answer were ignored, which cost up to 0.7 s."""
--- a/packages/guavabarrow-daemon/tests/test_orders_confirmation.py
+++ b/packages/guavabarrow-daemon/tests/test_orders_confirmation.py
@@ -119,3 +119,28 @@
     configuration = behind.orders.configuration
     assert configuration is not None
     assert configuration.version == 8
+
+
+def test_a_wait_that_ends_during_a_suspension_confirms_nothing(reactor):
+    """Timers run before the first statement notices the suspension."""
+    vm = Vm(reactor)
+    vm.read(5, configuration_row(1, 5))
+    vm.orders.record_turn()
+    vm.suspend(3.0)
+    assert not vm.orders.is_confirmed()
+    fired = []
+    vm.orders.when_confirmed().addCallback(fired.append)
+    vm.suspend(5.0)
+    reactor.advance(0.0)
+    assert fired == []
+
+
+def test_a_start_that_is_suspended_is_confirmed_by_later_rows_only(reactor):
+    """A copy of before the suspension arrived after it."""
+    vm = Vm(reactor)
+    reactor.advance(0.2)
+    vm.read(5, configuration_row(1, 5), at=-1.0)
+    vm.suspend(10.0)
+    assert vm.orders.configuration is None
+    vm.read(6, configuration_row(1, 6), at=0.3)
+    assert vm.orders.configuration is None
