Read the operators' table again soon while statements wait for it

Cause: a VM that wakes reads the operators' table once. If the store refused that call and the next one of the watch, a quarter of a second later, the wait of 0.5 s ended, and operations began by older orders although the store answered again 0.3 s after the VM had woken. If the store had dropped the history, the call read nothing.

Change: while the orders are unconfirmed the read is repeated, 0.1 s after a failure.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -68,6 +68,9 @@
 RETRY_DELAY_S = 0.25
 """Delay before a retry after a failed store request."""
 
+CONFIRM_RETRY_DELAY_S = 0.1
+"""The same while statements wait for confirmed orders, which they do for 0.5 s."""
+
 HEARTBEAT_INTERVAL_S = 0.7
 TURN_INTERVAL_S = 0.25
 """Interval at which turns of the event loop are recorded. It is far less than
@@ -186,6 +189,7 @@
         self._observer_chosen_at = float("-inf")
         self._heartbeat_sent_at = 0.0
         self._is_heartbeat_due = False
+        self._is_confirming = False
         self._is_store_reachable: bool | None = None
         self._heartbeat_loop: LoopingCall | None = None
         self._turn_loop: LoopingCall | None = None
@@ -467,7 +471,17 @@
 
     def _on_orders_unconfirmed(self) -> None:
         """Read the operators' table at once, whoever does so otherwise."""
-        self.kernel.tasks.start("orders_confirmation", self._read_orders(0.0))
+        if not self._is_confirming:
+            self._is_confirming = True
+            self.kernel.tasks.start("orders_confirmation", self._confirm_orders())
+
+    async def _confirm_orders(self) -> None:
+        try:
+            while not self.is_stopping and not self.orders.is_confirmed():
+                if not await self._read_orders(0.0):
+                    await deferLater(self._reactor, CONFIRM_RETRY_DELAY_S, lambda: None)
+        finally:
+            self._is_confirming = False
 
     def _on_orders_changed(self) -> None:
         configuration = self.configuration
--- a/packages/guavabarrow-daemon/tests/test_operator_orders.py
+++ b/packages/guavabarrow-daemon/tests/test_operator_orders.py
@@ -329,6 +329,26 @@
     assert time_behind_after_waking(fleet, name) <= WAKE_S
 
 
+@pytest.mark.parametrize("refused_s", [0.1, 0.3])
+@pytest.mark.parametrize("frozen_s", [1.5, 2.0, 5.0])
+@pytest.mark.parametrize("name", ["east-0", "east-2"])
+def test_a_vm_that_wakes_while_the_store_refuses_calls_reads_again(
+    fleet, name, frozen_s, refused_s
+):
+    """The store may reject a call beyond its rate, as when many VMs wake at once."""
+    store = fleet.operator_store
+    fleet.suspend(name)
+    fleet.run(frozen_s / 2)
+    fleet.publish()
+    fleet.run(frozen_s / 2)
+    fleet.cut_links(name, fleet.others(name))
+    store.refused_from = {name}
+    fleet.network.reactor_by_host["east-1"].callLater(
+        refused_s, setattr, store, "refused_from", set()
+    )
+    assert time_behind_after_waking(fleet, name) == 0.0
+
+
 def test_an_idle_vm_that_stands_still_for_half_a_second_was_not_suspended(fleet):
     """Only heartbeats showed that it ran; each late one cost a call of the store."""
     suspended = []
