Choose no VM as a host before a configuration is in force there

Cause: heartbeats name the newest row of the operators' table that was received, by which other VMs choose hosts. Since orders count only once they are confirmed, a VM that starts could be chosen up to 1.5 s before it had a configuration, and then runs statements without a check of their route and by unconfirmed evacuations. For a moment after a restart the last heartbeat of the former process counted as well.

Change: heartbeats name no version until a configuration is in force; the last heartbeat of a former process is dropped when the new one connects.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -182,6 +182,7 @@
         self.heard_store_s = 0.0
         self._links = kernel.find(PeerLinks)
         self._heartbeat_by_vm: dict[str, tuple[float, PeerHeartbeat]] = {}
+        self._incarnation_by_vm: dict[str, str] = {}
         self._departure_by_vm: dict[str, tuple[str, float]] = {}
         self._hub_seen_at = now_s()
         self._has_lost_hubs = False
@@ -437,6 +438,11 @@
     def _on_peer_up(self, vm: str) -> None:
         """Send a heartbeat to a newly connected VM, which may have no other source."""
         self._observer_chosen_at = float("-inf")
+        incarnation = self._links.incarnation_of(vm)
+        if self._incarnation_by_vm.get(vm) != incarnation:
+            # What its former process knew, this one doesn't.
+            self._incarnation_by_vm[vm] = incarnation
+            self._heartbeat_by_vm.pop(vm, None)
         draft = self._draft_heartbeat(is_greeting=True)
         member = self.state.member_by_vm().get(vm)
         inside = (
@@ -645,10 +651,12 @@
         self._links.send_to(others, PeerHeartbeat(**draft.common))
 
     def _draft_heartbeat(self, *, is_greeting: bool) -> HeartbeatDraft:
+        # Until a configuration is in force, this VM is no host and no source of orders.
+        has_orders = self.configuration is not None
         common = {
             "store_age_s": self.table_age_s(),
             "rows_version": self.state.rows_version,
-            "orders_version": self.orders.rows.newest_version,
+            "orders_version": self.orders.rows.newest_version if has_orders else 0,
             "orders_age_s": round(min(UNKNOWN_AGE_S, self.orders.age_s), 3),
             "is_leaving": self.is_leaving,
         }
--- a/packages/guavabarrow-daemon/tests/test_operator_orders.py
+++ b/packages/guavabarrow-daemon/tests/test_operator_orders.py
@@ -349,6 +349,25 @@
     assert time_behind_after_waking(fleet, name) == 0.0
 
 
+def test_a_vm_without_a_configuration_in_force_hosts_no_service(fleet):
+    """Other VMs chose it, as its heartbeats named the rows that it had received."""
+    fleet.operator_store.unreachable_from = set(fleet.names)
+    fleet.run(WATCH_S)
+    fleet.kill("east-1")
+    fleet.start("east-1")
+    is_received = False
+    for _ in range(300):
+        fleet.run(0.01)
+        service = fleet.vm_by_name["east-1"].kernel.find(FleetService)
+        is_received |= service.orders.rows.newest_version > 0
+        if service.configuration is not None:
+            break
+        for other in ("east-0", "east-2"):
+            chooser = fleet.vm_by_name[other].kernel.find(FleetService)
+            assert not chooser._can_host("east-1")
+    assert is_received
+
+
 def test_an_idle_vm_that_stands_still_for_half_a_second_was_not_suspended(fleet):
     """Only heartbeats showed that it ran; each late one cost a call of the store."""
     suspended = []
