--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -68,7 +68,14 @@
 RETRY_DELAY_S = 0.25
 """Delay before a retry after a failed store request."""
 
+CONFIRM_RETRY_DELAY_S = 0.1
+"""The same while statements wait for confirmed orders, which they do for 0.5 s."""
+
 HEARTBEAT_INTERVAL_S = 0.7
+TURN_INTERVAL_S = 0.25
+"""Interval at which turns of the event loop are recorded. It is far less than
+``SUSPENDED_AFTER_S``, so that a late heartbeat of an idle VM isn't a suspension."""
+
 MIN_HEARTBEAT_INTERVAL_S = 0.03
 """Minimum interval between a heartbeat sent for a change and the one before it."""
 
@@ -175,6 +182,7 @@
         self.heard_store_s = 0.0
         self._links = kernel.find(PeerLinks)
         self._heartbeat_by_vm: dict[str, tuple[float, PeerHeartbeat]] = {}
+        self._incarnation_by_vm: dict[str, str] = {}
         self._departure_by_vm: dict[str, tuple[str, float]] = {}
         self._hub_seen_at = now_s()
         self._has_lost_hubs = False
@@ -182,8 +190,10 @@
         self._observer_chosen_at = float("-inf")
         self._heartbeat_sent_at = 0.0
         self._is_heartbeat_due = False
+        self._is_confirming = False
         self._is_store_reachable: bool | None = None
         self._heartbeat_loop: LoopingCall | None = None
+        self._turn_loop: LoopingCall | None = None
 
     async def start(self) -> None:
         """Start watching both tables and sending heartbeats."""
@@ -198,13 +208,18 @@
             "heartbeat", self._send_heartbeat, self._reactor
         )
         self._heartbeat_loop.start(HEARTBEAT_INTERVAL_S, now=False)
+        self._turn_loop = tasks.create_periodic(
+            "turn", self.orders.record_turn, self._reactor
+        )
+        self._turn_loop.start(TURN_INTERVAL_S, now=False)
 
     async def stop(self) -> None:
         """Stop watching and sending; targets and callers are disconnected already."""
         self.is_stopping = True
         self._links.broadcast(Departure(self.state.incarnation))
-        if self._heartbeat_loop is not None and self._heartbeat_loop.running:
-            self._heartbeat_loop.stop()
+        for loop in (self._heartbeat_loop, self._turn_loop):
+            if loop is not None and loop.running:
+                loop.stop()
 
     def announce_leaving(self) -> None:
         """Tell the other VMs that this one stops as planned and takes no new work."""
@@ -423,6 +438,11 @@
     def _on_peer_up(self, vm: str) -> None:
         """Send a heartbeat to a newly connected VM, which may have no other source."""
         self._observer_chosen_at = float("-inf")
+        incarnation = self._links.incarnation_of(vm)
+        if self._incarnation_by_vm.get(vm) != incarnation:
+            # What its former process knew, this one doesn't.
+            self._incarnation_by_vm[vm] = incarnation
+            self._heartbeat_by_vm.pop(vm, None)
         draft = self._draft_heartbeat(is_greeting=True)
         member = self.state.member_by_vm().get(vm)
         inside = (
@@ -457,7 +477,17 @@
 
     def _on_orders_unconfirmed(self) -> None:
         """Read the operators' table at once, whoever does so otherwise."""
-        self.kernel.tasks.start("orders_confirmation", self._read_orders(0.0))
+        if not self._is_confirming:
+            self._is_confirming = True
+            self.kernel.tasks.start("orders_confirmation", self._confirm_orders())
+
+    async def _confirm_orders(self) -> None:
+        try:
+            while not self.is_stopping and not self.orders.is_confirmed():
+                if not await self._read_orders(0.0):
+                    await deferLater(self._reactor, CONFIRM_RETRY_DELAY_S, lambda: None)
+        finally:
+            self._is_confirming = False
 
     def _on_orders_changed(self) -> None:
         configuration = self.configuration
@@ -469,7 +499,7 @@
 
     @property
     def configuration(self) -> SessionConfiguration | None:
-        """Configuration in force, None until one has been received."""
+        """Configuration in force, None until one has been confirmed."""
         return self.orders.configuration
 
     @property
@@ -595,7 +625,6 @@
         self._heartbeat_sent_at = now_s()
         self._is_heartbeat_due = False
         age_s = self.table_age_s()
-        self.orders.record_turn()
         metrics = self.kernel.find(SessionMetrics)
         metrics.store_age.set(age_s)
         metrics.orders_age.set(round(min(UNKNOWN_AGE_S, self.orders.age_s), 3))
@@ -622,10 +651,12 @@
         self._links.send_to(others, PeerHeartbeat(**draft.common))
 
     def _draft_heartbeat(self, *, is_greeting: bool) -> HeartbeatDraft:
+        # Until a configuration is in force, this VM is no host and no source of orders.
+        has_orders = self.configuration is not None
         common = {
             "store_age_s": self.table_age_s(),
             "rows_version": self.state.rows_version,
-            "orders_version": self.orders.rows.newest_version,
+            "orders_version": self.orders.rows.newest_version if has_orders else 0,
             "orders_age_s": self._announced_orders_age_s(),
             "is_leaving": self.is_leaving,
         }
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
@@ -35,6 +35,10 @@
 RESUME_CONFIRM_TIMEOUT_S = 0.5
 """Longest wait after a suspension, which a statement spends of its timeout."""
 
+MAX_CONFIRM_WAITS = 3
+"""Such waits in a row. A suspension during one begins another, and a VM that is often
+suspended and reaches nobody has to serve at some time."""
+
 SUSPENDED_AFTER_S = 1.0
 """Time without a turn of the event loop after which it counts as suspended."""
 
@@ -77,13 +81,14 @@
         self._received: SessionConfiguration | None = None
         self._received_from = ""
         self._order_by_key: dict[str, SessionConfiguration | Evacuation | None] = {}
-        self._undecodable_version_by_key: dict[str, int] = {}
+        self._undecodable_by_key: dict[str, TableRow] = {}
         self._read_at = NEVER
         self._turned_at = now_s()
         self._unconfirmed_since = self._turned_at
         self._is_confirmed = False
         self._has_been_confirmed = False
         self._timeout: Any = None
+        self._waits = 0
         self._waiting: list[Deferred[None]] = []
 
     @property
@@ -110,9 +115,45 @@
         """
         if self._received is None:
             return 0
-        undecodable = self._undecodable_version_by_key.values()
+        undecodable = [row.version for row in self._undecodable_by_key.values()]
         return max(self.rows.newest_version, *undecodable, 0)
 
+    @property
+    def request_version(self) -> int:
+        """Version after which rows are requested from other VMs.
+
+        The pages of a full read are not of one moment: a row may be known that is newer
+        than one that is not.
+        """
+        if self.rows.version == 0:
+            return self.received_version
+        return min(self.rows.version, self.received_version)
+
+    # Relaying rows
+
+    def newer_than(self, version: int) -> list[TableRow]:
+        """Return the rows that changed after a version, oldest first.
+
+        Undecodable rows are included, as the other VM may run a version that decodes
+        them; without them its copy wouldn't be complete.
+        """
+        undecodable = [row for row in self._live_undecodable() if row.version > version]
+        rows = [*self.rows.newer_than(version), *undecodable]
+        return sorted(rows, key=lambda row: row.version)
+
+    def live_keys(self) -> list[str]:
+        """Return the keys of all rows of the table, sorted."""
+        undecodable = {row.key for row in self._live_undecodable()}
+        return sorted(undecodable.union(self.rows.live_keys()))
+
+    def _live_undecodable(self) -> list[TableRow]:
+        known = self.rows.row_by_key
+        return [
+            row
+            for key, row in self._undecodable_by_key.items()
+            if key not in known or known[key].version < row.version
+        ]
+
     # Receiving rows
 
     async def read(self, wait_s: float) -> None:
@@ -201,6 +242,8 @@
     ) -> None:
         """Apply rows, and what is known of the copy that they come from."""
         changed = self.rows.merge(self._decode_newer(rows))
+        if live_keys is not None and version >= max(self.rows.version, 1):
+            self._drop_undecodable(version, live_keys)
         if version > 0:
             changed += self.rows.complete(
                 version, as_of=as_of, store_s=store_s, live_keys=live_keys
@@ -214,7 +257,7 @@
         newer = []
         for row in rows:
             is_replaceable = (
-                row.key in self._undecodable_version_by_key
+                row.key in self._undecodable_by_key
                 and row.key not in self.rows.row_by_key
             )
             if not self.rows.lacks(row) and not is_replaceable:
@@ -229,12 +272,18 @@
         return newer
 
     def _reject(self, row: TableRow, error: UndecodableValue) -> None:
-        if row.version > self._undecodable_version_by_key.get(row.key, 0):
-            self._undecodable_version_by_key[row.key] = row.version
+        known = self._undecodable_by_key.get(row.key)
+        if known is None or row.version > known.version:
+            self._undecodable_by_key[row.key] = row
             logger.bind(key=row.key, row_version=row.version, error=str(error)).error(
                 "configuration_unreadable"
             )
 
+    def _drop_undecodable(self, version: int, live_keys: Collection[str]) -> None:
+        for key, row in list(self._undecodable_by_key.items()):
+            if key not in live_keys and row.version <= version:
+                del self._undecodable_by_key[key]
+
     def _receive(self, changed: list[TableRow], source: str) -> None:
         for row in changed:
             if row.value is None:
@@ -288,7 +337,10 @@
         now = now_s()
         suspended_s = now - self._turned_at
         self._turned_at = now
-        if suspended_s <= SUSPENDED_AFTER_S or not self._has_been_confirmed:
+        if suspended_s <= SUSPENDED_AFTER_S:
+            return
+        if self._received is None:
+            self._unconfirmed_since = now
             return
         log_decision(
             "orders_unconfirmed",
@@ -297,7 +349,11 @@
         )
         self._is_confirmed = False
         self._unconfirmed_since = now
-        self._limit_wait(RESUME_CONFIRM_TIMEOUT_S)
+        self._limit_wait(
+            RESUME_CONFIRM_TIMEOUT_S
+            if self._has_been_confirmed
+            else START_CONFIRM_TIMEOUT_S
+        )
         for callback in self.on_unconfirmed:
             callback()
 
@@ -308,7 +364,10 @@
         return waiting
 
     def _follow_confirmation(self) -> None:
-        if self._is_confirmed or self._received is None:
+        if self._is_confirmed:
+            return
+        self.record_turn()
+        if self._received is None:
             return
         if self.rows.as_of >= self._unconfirmed_since:
             self._set_confirmed("copy")
@@ -317,9 +376,16 @@
 
     def _limit_wait(self, timeout_s: float) -> None:
         self._cancel_timeout()
-        self._timeout = self._reactor.callLater(
-            timeout_s, self._set_confirmed, "timeout"
-        )
+        self._waits += 1
+        self._timeout = self._reactor.callLater(timeout_s, self._on_timeout)
+
+    def _on_timeout(self) -> None:
+        self._timeout = None
+        if self._waits < MAX_CONFIRM_WAITS:
+            # Timers run before anything else after a suspension.
+            self.record_turn()
+        if self._timeout is None:
+            self._set_confirmed("timeout")
 
     def _cancel_timeout(self) -> None:
         if self._timeout is not None and self._timeout.active():
@@ -328,6 +394,7 @@
 
     def _set_confirmed(self, reason: str) -> None:
         self._cancel_timeout()
+        self._waits = 0
         is_first = not self._has_been_confirmed
         self._is_confirmed = self._has_been_confirmed = True
         log_decision("orders_confirmed", reason=reason, age_s=round(self.age_s, 2))
--- a/packages/guavabarrow-daemon/tests/test_operator_orders.py
+++ b/packages/guavabarrow-daemon/tests/test_operator_orders.py
@@ -19,6 +19,7 @@
 )
 from sim_platform import publish_unreadable_configuration
 
+from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 
 OBSERVERS = ("east-0", "north-0", "west-0")
@@ -328,6 +329,60 @@
     assert time_behind_after_waking(fleet, name) <= WAKE_S
 
 
+@pytest.mark.parametrize("refused_s", [0.1, 0.3])
+@pytest.mark.parametrize("frozen_s", [1.5, 2.0, 5.0])
+@pytest.mark.parametrize("name", ["east-0", "east-2"])
+def test_a_vm_that_wakes_while_the_store_refuses_calls_reads_again(
+    fleet, name, frozen_s, refused_s
+):
+    """The store may reject a call beyond its rate, as when many VMs wake at once."""
+    store = fleet.operator_store
+    fleet.suspend(name)
+    fleet.run(frozen_s / 2)
+    fleet.publish()
+    fleet.run(frozen_s / 2)
+    fleet.cut_links(name, fleet.others(name))
+    store.refused_from = {name}
+    fleet.network.reactor_by_host["east-1"].callLater(
+        refused_s, setattr, store, "refused_from", set()
+    )
+    assert time_behind_after_waking(fleet, name) == 0.0
+
+
+def test_a_vm_without_a_configuration_in_force_hosts_no_service(fleet):
+    """Other VMs chose it, as its heartbeats named the rows that it had received."""
+    fleet.operator_store.unreachable_from = set(fleet.names)
+    fleet.run(WATCH_S)
+    fleet.kill("east-1")
+    fleet.start("east-1")
+    is_received = False
+    for _ in range(300):
+        fleet.run(0.01)
+        service = fleet.vm_by_name["east-1"].kernel.find(FleetService)
+        is_received |= service.orders.rows.newest_version > 0
+        if service.configuration is not None:
+            break
+        for other in ("east-0", "east-2"):
+            chooser = fleet.vm_by_name[other].kernel.find(FleetService)
+            assert not chooser._can_host("east-1")
+    assert is_received
+
+
+def test_an_idle_vm_that_stands_still_for_half_a_second_was_not_suspended(fleet):
+    """Only heartbeats showed that it ran; each late one cost a call of the store."""
+    suspended = []
+    for name, vm in fleet.vm_by_name.items():
+        vm.kernel.find(FleetService).orders.on_unconfirmed.append(
+            lambda name=name: suspended.append(name)
+        )
+    for _ in range(6):
+        fleet.suspend(*fleet.names)
+        fleet.run(0.5)
+        fleet.resume()
+        fleet.run(0.43)
+    assert suspended == []
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_a_configuration_is_in_force_within_half_a_second_without_faults(fleet, seed):
     """Heartbeats soon after an answer were ignored, which cost up to 0.7 s."""
