Wait until all databases have a write before their domain is isolated

Its database had no table entry (read from the database file that the run left), because the write that creates it had been acknowledged by the other two when the domain was isolated. That read is allowed to be 60 s old, so the answer was right and the test's set-up was not.

The scenario now isolates the domain once all databases of the service have the same log; what it asks of reads and writes is unchanged.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -454,9 +454,16 @@
     nodes = [n for n, d in world.fleet.domain_by_node.items() if d == domain]
     world.state.update(domain=domain, nodes=nodes)
     assert world.caller().write("INSERT INTO entry VALUES ('before')").ok
+    # Two databases acknowledge a write; the third may still lack it, and its table.
+    wait_until(lambda: _have_equal_logs(world, SERVICE), "all databases have the write")
     world.fleet.isolate(*nodes)
 
 
+def _have_equal_logs(world, service):
+    targets = world.fleet.group(world.fleet.vms[0], service).targets
+    return len({(target.term, target.index) for target in targets}) == 1
+
+
 def _isolated_callers(world):
     return [
         Caller([world.fleet.port_by_name[n]], KILIMA.key, deadline_s=3.0)
