Confirm the list of targets with each heartbeat, and ask only readers for orders

Cause: since a heartbeat with newer rows no longer confirmed the age of the list of targets, and a VM that starts, whose copy of the operators' table has no age, asked each VM for it that sent a heartbeat.

Change: the list is looked at first, and an unknown age counts as such on both sides.

Measured: test_operator_orders, test_orders_confirmation, test_starts_without_store and test_fleet_size pass.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -16,6 +16,7 @@
 from guavabarrow_core.operator_rows import TableRow
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.fleet_messages import (
+    UNKNOWN_AGE_S,
     FleetMessage,
     PeerHeartbeat,
     SharedRow,
@@ -183,16 +184,16 @@
                 self._apply(vm, message)
 
     def _on_heartbeat(self, vm: str, heartbeat: PeerHeartbeat) -> None:
-        if self._has_newer_rows(vm, heartbeat) or self._needs_target_list(
-            vm, heartbeat
-        ):
-            wait_s = self._answered_at_by_vm.get(vm, 0.0) + MIN_LEAD_S - now_s()
-            if wait_s <= 0.0:
-                self._request(vm)
-            elif vm not in self._delayed_vms:
-                # Whoever sends no further heartbeat soon would be asked much later.
-                self._delayed_vms.add(vm)
-                self._reactor.callLater(wait_s, self._request_delayed, vm)
+        needs_targets = self._needs_target_list(vm, heartbeat)
+        if not needs_targets and not self._has_newer_rows(vm, heartbeat):
+            return
+        wait_s = self._answered_at_by_vm.get(vm, 0.0) + MIN_LEAD_S - now_s()
+        if wait_s <= 0.0:
+            self._request(vm)
+        elif vm not in self._delayed_vms:
+            # Its next heartbeat may be much later.
+            self._delayed_vms.add(vm)
+            self._reactor.callLater(wait_s, self._request_delayed, vm)
 
     def _request_delayed(self, vm: str) -> None:
         self._delayed_vms.discard(vm)
@@ -205,10 +206,11 @@
     def _has_newer_rows(self, vm: str, heartbeat: PeerHeartbeat) -> bool:
         """Return whether a VM has rows that this one should request from it."""
         fleet = self._fleet
+        orders_age_s = min(fleet.orders.age_s, UNKNOWN_AGE_S)
         lead_s = fleet.table_age_s() - heartbeat.store_age_s
-        orders_lead_s = fleet.orders.age_s - heartbeat.orders_age_s
+        orders_lead_s = orders_age_s - heartbeat.orders_age_s
         are_orders_stale = (
-            fleet.orders.age_s > STALE_ORDERS_AFTER_S or not fleet.orders.is_confirmed()
+            orders_age_s > STALE_ORDERS_AFTER_S or not fleet.orders.is_confirmed()
         )
         is_ahead = (fleet.table_age_s() > STALE_AFTER_S and lead_s > MIN_LEAD_S) or (
             are_orders_stale and orders_lead_s > MIN_LEAD_S
