Log the store's era and what full reads return

The logs could not tell a return of the store from an older copy from dropped history: no era, no versions of a full read. Values of a repeated header are joined, so that a doubled era is malformed.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -348,6 +348,13 @@
         self, reading: TableReadResult, sent_at: float, *, is_full: bool
     ) -> None:
         now = now_s()
+        if is_full:
+            log_decision(
+                "shared_table_read",
+                version=reading.version,
+                known_version=self.state.version,
+                rows=len(reading.rows),
+            )
         self.clock.observe(store_s=reading.store_s, sent_at=sent_at, received_at=now)
         rows = [decode_row(row.key, row.value, row.version) for row in reading.rows]
         as_of = max(sent_at, self.clock.earliest_local(reading.store_s))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
@@ -188,6 +188,13 @@
         self, reading: TableReadResult, sent_at: float, *, is_full: bool
     ) -> None:
         self._read_at = now_s()
+        if is_full:
+            log_decision(
+                "orders_read",
+                version=reading.version,
+                known_version=self.rows.version,
+                row_versions={row.key: row.version for row in reading.rows},
+            )
         self._clock.observe(
             store_s=reading.store_s, sent_at=sent_at, received_at=self._read_at
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/http/client_connection.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/http/client_connection.py
@@ -39,7 +39,8 @@
     body : bytes
         Complete body.
     headers : dict of bytes to bytes
-        Header values by lower-case name.
+        Header values by lower-case name; those of a repeated header are joined by
+        commas.
     """
 
     status: int
@@ -148,7 +149,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; called by the parser."""
-        self._headers[name.lower()] = value
+        key = name.lower()
+        known = self._headers.get(key)
+        self._headers[key] = value if known is None else known + b", " + value
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body; called by the parser."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -12,6 +12,7 @@
 
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.metrics import LATENCY_BUCKETS_S
+from guavabarrow_daemon.operations.decision_log import log_decision
 
 
 class SessionMetrics(Service):
@@ -68,6 +69,11 @@
         self.store_calls = self._counter(
             "store_calls", "Calls of the store by result", "call", "result"
         )
+        self.store_era = Gauge(
+            "guavabarrow_store_era",
+            "Newest era of the store in its answers",
+            registry=self.registry,
+        )
         self.promotions = self._counter(
             "session_promotions", "Replacements of primaries", "result"
         )
@@ -127,6 +133,11 @@
             registry=self.registry,
         )
 
+    def record_era(self, era: int) -> None:
+        """Record that an answer of the store shows a newer era."""
+        self.store_era.set(era)
+        log_decision("store_era_seen", era=era)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -25,7 +25,7 @@
 
     async def call(self, method, path, body=b"", *, wait_s=0.0):
         page = self.pages.pop(0)
-        return SimpleNamespace(status=200, body=json.dumps(page).encode())
+        return SimpleNamespace(status=200, headers={}, body=json.dumps(page).encode())
 
 
 def test_a_watch_after_a_read_of_several_pages_misses_no_change():
