--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
@@ -12,6 +12,10 @@
 after the sponsorships that it granted before have expired. A process that replaces a
 sponsor confirms nothing for as long after its start. So the duty holder, which waits
 for registered VMs only, waits for sponsored ones too.
+
+Rows belong to the era of the store in which they were written. Rows of a former era are
+not in force: a VM may use a primary that one names until its last lease of that era
+ends, and treats the others as hints.
 """
 
 from __future__ import annotations
@@ -20,6 +24,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from guavabarrow_core.store_position import NO_POSITION, StorePosition
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -103,10 +109,20 @@
 
 @dataclass(frozen=True, slots=True)
 class DutyRow:
-    """Holder of the promotion duty."""
+    """Holder of the promotion duty.
+
+    Parameters
+    ----------
+    holder, incarnation : str
+        VM and its process incarnation.
+    era_since_store_s : float or None
+        Store time, in s, after which no lease of a former era was granted; None if
+        there was no duty before this era.
+    """
 
     holder: str
     incarnation: str
+    era_since_store_s: float | None = None
 
 
 FleetRow = MemberRow | LeadRow | DutyRow
@@ -114,10 +130,10 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionedRow:
-    """A row with its version in the store; ``row`` is None if it was deleted."""
+    """A row with its position in the store; ``row`` is None if it was deleted."""
 
     key: str
-    version: int
+    version: StorePosition
     row: FleetRow | None
 
 
@@ -145,14 +161,21 @@
 
     Attributes
     ----------
-    version : int
-        Version up to which the copy is complete, 0 if the table was never read.
-    rows_version : int
-        Version of the newest row up to which no row is missing from the copy.
+    era : int
+        Era of the store whose rows are in force.
+    era_since : float
+        Local time, in s, at which this VM learned of the era.
+    version : StorePosition
+        Position up to which the copy is complete, 0 if the table was never read.
+    rows_version : StorePosition
+        Position of the newest row up to which no row is missing from the copy.
     as_of : float
-        Local time, in s, not later than the moment at which the table had this content.
+        Local time, in s, not later than the moment at which the table had this content;
+        minus infinity if it wasn't read in this era.
+    former_as_of : dict of int to float
+        The same of the last copy of each former era.
     row_by_key : dict of str to VersionedRow
-        Newest version of each row, including deleted ones.
+        Newest version of each row, including deleted ones and those of former eras.
     out_since : dict of str to float
         Local time, in s, at which this VM first saw another VM marked unavailable.
     sponsor, sponsor_incarnation : str
@@ -163,9 +186,12 @@
 
     vm: str
     incarnation: str
-    version: int = 0
-    rows_version: int = 0
+    era: int = 0
+    era_since: float = float("-inf")
+    version: StorePosition = NO_POSITION
+    rows_version: StorePosition = NO_POSITION
     as_of: float = float("-inf")
+    former_as_of: dict[int, float] = field(default_factory=dict)
     row_by_key: dict[str, VersionedRow] = field(default_factory=dict)
     out_since: dict[str, float] = field(default_factory=dict)
     sponsor: str = ""
@@ -178,10 +204,51 @@
         for row in self.row_by_key.values():
             self._index_row(row)
 
+    def enter_era(self, era: int, now: float) -> None:
+        """Treat all rows as those of a former era.
+
+        Parameters
+        ----------
+        era : int
+            Present era of the store, newer than the known one.
+        now : float
+            Local time, in s.
+        """
+        self.former_as_of[self.era] = self.as_of
+        self.era = era
+        self.era_since = now
+        self.as_of = float("-inf")
+        if self.version != NO_POSITION:
+            self.version = StorePosition.at(era, 0)
+
+    def is_former(self, key: str) -> bool:
+        """Return whether a row is known of a former era only."""
+        known = self.row_by_key.get(key)
+        return known is not None and self._era_of(known) < self.era
+
+    def former_primary_rows(self) -> list[VersionedRow]:
+        """Return the rows of primaries that were not written in this era."""
+        return [
+            row
+            for row in self.row_by_key.values()
+            if isinstance(row.row, LeadRow) and self._era_of(row) < self.era
+        ]
+
+    def forget_former_members(self) -> None:
+        """Delete registrations of former eras; their leases must have ended."""
+        for key, known in list(self.row_by_key.items()):
+            if isinstance(known.row, MemberRow) and self._era_of(known) < self.era:
+                self._member_by_vm.pop(known.row.vm, None)
+                del self.row_by_key[key]
+
+    @staticmethod
+    def _era_of(row: VersionedRow) -> int:
+        return StorePosition(row.version).era
+
     def apply(
         self,
         rows: list[VersionedRow],
-        version: int,
+        version: StorePosition,
         *,
         as_of: float,
         now: float,
@@ -193,8 +260,8 @@
         ----------
         rows : list of VersionedRow
             All rows, or those that changed.
-        version : int
-            Version of the whole table.
+        version : StorePosition
+            Position of the whole table, in the present era.
         as_of : float
             Local time, in s, not later than the moment of that version.
         now : float
@@ -211,7 +278,8 @@
         if is_full:
             keys = {row.key for row in rows}
             for key, known in list(self.row_by_key.items()):
-                if key not in keys and known.version <= version and known.row:
+                is_replaced = known.version <= version and not self.is_former(key)
+                if key not in keys and is_replaced and known.row:
                     deleted = VersionedRow(key, version, None)
                     self._store_row(deleted)
                     changed.append(deleted)
@@ -283,13 +351,20 @@
         """Return the rows of all services' primaries."""
         return list(self._primary_row_by_key.values())
 
-    def version_of(self, key: str) -> int:
-        """Return the version of a row, 0 if it does not exist."""
+    def position_of(self, key: str) -> StorePosition:
+        """Return the position of a row, also of a former era, 0 if it isn't known."""
         known = self.row_by_key.get(key)
-        return known.version if known is not None and known.row is not None else 0
+        return StorePosition(known.version) if known is not None else NO_POSITION
+
+    def version_of(self, key: str) -> StorePosition:
+        """Return the position of a row, 0 if it does not exist in this era."""
+        known = self.row_by_key.get(key)
+        if known is None or known.row is None or self.is_former(key):
+            return NO_POSITION
+        return known.version
 
     def duty(self) -> DutyRow | None:
-        """Return the row of the promotion duty, None if there is none."""
+        """Return the newest row of the promotion duty, None if there is none."""
         known = self.row_by_key.get(DUTY_KEY)
         return known.row if known and isinstance(known.row, DutyRow) else None
 
@@ -319,11 +394,20 @@
             self.sponsor, self.sponsor_incarnation
         )
 
+    def is_current_member(self, vm: str) -> bool:
+        """Return whether a VM is registered in this era of the store."""
+        return vm in self._member_by_vm and not self.is_former(member_key(vm))
+
     def is_member(self, now: float) -> bool:
         """Return whether this VM is registered or sponsored."""
         return self.is_registered() or self.is_sponsored(now)
 
     def _is_available(self, vm: str, incarnation: str) -> bool:
+        return not self.is_former(member_key(vm)) and self._was_available(
+            vm, incarnation
+        )
+
+    def _was_available(self, vm: str, incarnation: str) -> bool:
         member = self._member_by_vm.get(vm)
         return (
             member is not None
@@ -344,16 +428,31 @@
         row = self.primary_row(service)
         if row is None or row.phase is not LeadPhase.SETTLED:
             return False
+        return self.has_lease_of(service, now)
+
+    def has_lease_of(self, service: str, now: float) -> bool:
+        """Return whether the lease under the row of a service's primary is valid."""
+        era = self.position_of(primary_row_key(service)).era
+        if era < self.era:
+            return self._has_former_lease(era, now)
         return self.has_primary_lease(now)
 
     def has_primary_lease(self, now: float) -> bool:
-        """Return whether this VM may use the primaries that its copy names."""
+        """Return whether this VM may use the primaries that rows of this era name."""
         return self.is_member(now) and now < self.as_of + PRIMARY_LEASE_S
 
+    def _has_former_lease(self, era: int, now: float) -> bool:
+        was_member = self._was_available(self.vm, self.incarnation) or (
+            now < self.sponsored_until
+            and self._was_available(self.sponsor, self.sponsor_incarnation)
+        )
+        as_of = self.former_as_of.get(era, float("-inf"))
+        return was_member and now < as_of + PRIMARY_LEASE_S
+
     def holds_duty(self, now: float) -> bool:
         """Return whether this VM may order promotions."""
         duty = self.duty()
-        if duty is None or duty.holder != self.vm:
+        if duty is None or duty.holder != self.vm or self.is_former(DUTY_KEY):
             return False
         if duty.incarnation != self.incarnation:
             return False
--- a/packages/guavabarrow-core/src/guavabarrow_core/operator_rows.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/operator_rows.py
@@ -1,7 +1,7 @@
 """This VM's copy of the operators' table, with the time at which it was last complete.
 
 Rows arrive from the store and from other VMs, in any order. A copy is described by the
-version up to which it lacks no row, so an older copy never replaces a newer one.
+position up to which it lacks no row, so an older copy never replaces a newer one.
 """
 
 from __future__ import annotations
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from guavabarrow_core.store_position import NO_POSITION, StorePosition
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
@@ -21,7 +23,12 @@
 
     key: str
     value: bytes | None
-    version: int
+    version: StorePosition
+
+    @property
+    def era(self) -> int:
+        """Era of the store in which the row had this version."""
+        return StorePosition(self.version).era
 
 
 @dataclass(slots=True)
@@ -32,12 +39,12 @@
     ----------
     row_by_key : dict of str to TableRow
         Newest version of each row, including deleted ones.
-    version : int
-        Version of the store up to which no row is missing, 0 if that isn't known.
+    version : StorePosition
+        Position of the store up to which no row is missing, 0 if that isn't known.
     as_of : float
         Local time, in s, not later than the moment at which the table had this content.
     store_s : float
-        The same moment on the store's clock, in s.
+        The same moment on the store's clock, in s, minus infinity if not known.
 
     Examples
     --------
@@ -49,19 +56,26 @@
     """
 
     row_by_key: dict[str, TableRow] = field(default_factory=dict)
-    version: int = 0
+    version: StorePosition = NO_POSITION
     as_of: float = NEVER
-    store_s: float = 0.0
+    store_s: float = NEVER
 
     @property
-    def newest_version(self) -> int:
-        """Version of the newest row, 0 if there is none."""
-        return max((row.version for row in self.row_by_key.values()), default=0)
-
-    def newer_than(self, version: int) -> list[TableRow]:
-        """Return the rows that changed after a version."""
+    def newest_version(self) -> StorePosition:
+        """Position of the newest row, 0 if there is none."""
+        return max(
+            (row.version for row in self.row_by_key.values()), default=NO_POSITION
+        )
+
+    def newer_than(self, version: StorePosition) -> list[TableRow]:
+        """Return the rows that changed after a position."""
         return [row for row in self.row_by_key.values() if row.version > version]
 
+    def former(self) -> list[TableRow]:
+        """Return the rows that were last seen in an era before that of the copy."""
+        era = StorePosition(self.version).era
+        return [row for row in self.row_by_key.values() if row.era < era]
+
     def live_keys(self) -> list[str]:
         """Return the keys of the rows that were not deleted, sorted."""
         rows = self.row_by_key.values()
@@ -85,25 +99,32 @@
                 changed.append(row)
         return changed
 
+    def put(self, row: TableRow) -> None:
+        """Store a row also if its position is older than that of the cached one."""
+        self.row_by_key[row.key] = row
+
     def complete(
         self,
-        version: int,
+        version: StorePosition,
         *,
         as_of: float,
         store_s: float,
         live_keys: Collection[str] | None = None,
+        keeps_former: bool = False,
     ) -> list[TableRow]:
-        """Record that all rows up to a version of the store are stored.
+        """Record that all rows up to a position of the store are stored.
 
         Parameters
         ----------
-        version : int
-            Version of the store.
+        version : StorePosition
+            Position of the store.
         as_of, store_s : float
-            Moment of that version, in s: a local time that is not later, and the time
+            Moment of that position, in s: a local time that is not later, and the time
             on the store's clock.
         live_keys : collection of str, optional
-            All keys of the table at that version; other rows were deleted before.
+            All keys of the table at that position; other rows were deleted before.
+        keeps_former : bool
+            Whether rows of former eras are kept although the store lacks them.
 
         Returns
         -------
@@ -115,6 +136,8 @@
         deleted = []
         for row in list(self.row_by_key.values()):
             is_missing = live_keys is not None and row.key not in live_keys
+            if keeps_former and row.era < StorePosition(version).era:
+                continue
             if is_missing and row.value is not None and row.version <= version:
                 deleted.append(TableRow(row.key, None, version))
         self.merge(deleted)
--- a/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
@@ -18,6 +18,8 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
+from guavabarrow_core.store_position import NO_POSITION, StorePosition
+
 if TYPE_CHECKING:
     from guavabarrow_core.log_position import LogPosition
     from guavabarrow_core.session_messages import TargetStatus
@@ -128,7 +130,7 @@
     chosen_id: str = ""
     started_at: float = 0.0
     marked_at: float = 0.0
-    marked_version: int = 0
+    marked_version: StorePosition = NO_POSITION
     compared_at: float = 0.0
     final_position: LogPosition | None = None
     status_by_id: dict[str, TargetStatus] = field(default_factory=dict)
--- a/packages/guavabarrow-core/src/guavabarrow_core/store_clock.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/store_clock.py
@@ -49,6 +49,11 @@
             self._low_offset_s = sent_at - store_s
             self._high_offset_s = received_at - store_s
 
+    def reset(self) -> None:
+        """Discard the bounds, for a store whose clock may have been set."""
+        self._low_offset_s = -INFINITY
+        self._high_offset_s = INFINITY
+
     def earliest_local(self, store_s: float) -> float:
         """Return a local time that is not after the store time."""
         return store_s + self._low_offset_s
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from ipaddress import IPv4Address
 
 from guavabarrow_core.exceptions import InvalidEntry
@@ -17,6 +17,13 @@
 """Entries that expired during an outage of the store reappear within about two seconds
 of its recovery."""
 
+RETURNED_ENTRY_S = 5.0
+"""Time for which an entry of an older copy of the store may be listed: an entry expires
+after three intervals of silence, and the listing is only polled."""
+
+REMOVED_KEPT_S = 60.0
+"""Time for which a removed entry is remembered; copies of the store are younger."""
+
 CONFIRMED_S = 5.0
 """How long a target that answered is kept without an entry: the target has to write its
 entry again, the listing shows it with a delay, and the listing is only polled."""
@@ -91,11 +98,17 @@
     _confirmed_at: dict[str, float] = field(default_factory=dict)
     _outage_at: float = float("-inf")
     _recovered_at: float = float("-inf")
+    _returned_at: float = float("-inf")
+    _removed_by_id: dict[str, tuple[TargetEntry, float]] = field(default_factory=dict)
 
     def record_outage(self, now: float) -> None:
         """Record that the store did not respond."""
         self._outage_at = now
 
+    def record_return(self, now: float) -> None:
+        """Record that the store has returned from an older copy."""
+        self._outage_at = self._returned_at = now
+
     def confirm(self, entry: TargetEntry, now: float) -> bool:
         """Keep a target that answered although its entry expired.
 
@@ -134,6 +147,8 @@
             self._recovered_at = now
         self.as_of = now
         current = {entry.target_id: entry for entry in entries}
+        if now - self._returned_at < RETURNED_ENTRY_S:
+            current = self._without_reverted(current)
         changed = [
             target_id
             for target_id, entry in current.items()
@@ -147,12 +162,35 @@
             for key in missing
             if now - self._confirmed_at.get(key, float("-inf")) > CONFIRMED_S
         ]
+        self._removed_by_id = {
+            key: (entry, at)
+            for key, (entry, at) in self._removed_by_id.items()
+            if key not in current and now - at < REMOVED_KEPT_S
+        }
         for target_id in missing:
-            del self.entry_by_id[target_id]
+            self._removed_by_id[target_id] = (self.entry_by_id.pop(target_id), now)
             self._confirmed_at.pop(target_id, None)
         self.entry_by_id.update(current)
         return changed, missing
 
+    def _without_reverted(
+        self, current: dict[str, TargetEntry]
+    ) -> dict[str, TargetEntry]:
+        """Undo what an older copy takes back: a target that left, and one that drains.
+
+        A target that starts again has another time of birth.
+        """
+        reverted = {}
+        for key, entry in current.items():
+            removed, _ = self._removed_by_id.get(key, (None, 0.0))
+            if removed is not None and removed.born_ms == entry.born_ms:
+                continue
+            known = self.entry_by_id.get(key)
+            drained_ms = known.born_ms if known and known.is_draining else None
+            is_draining = entry.is_draining or drained_ms == entry.born_ms
+            reverted[key] = replace(entry, is_draining=is_draining)
+        return reverted
+
     def of_service(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service."""
         return [
--- a/packages/guavabarrow-core/tests/test_fleet_state.py
+++ b/packages/guavabarrow-core/tests/test_fleet_state.py
@@ -20,6 +20,7 @@
     member_key,
     primary_row_key,
 )
+from guavabarrow_core.store_position import StorePosition
 
 SERVICE = "orders"
 
@@ -157,3 +158,40 @@
     sponsor = replace(other.member_by_vm()["b"], **change)
     other.merge([VersionedRow("vm/b", 99, sponsor)], 10.3)
     assert not other.may_use_primary("orders", 10.4)
+
+
+# A store that returned from an older copy
+
+
+def test_a_lease_under_rows_of_a_former_era_ends_and_is_not_renewed(state):
+    """Each answer of the restored store renewed leases on primaries that it forgot."""
+    state.enter_era(1, 11.0)
+    position = StorePosition.at(1, 3)
+    own = (member_key("a"), position, member_row("a"))
+    state.apply(versioned_rows(own), position, as_of=15.9, now=15.9, is_full=True)
+    assert state.is_registered()
+    assert state.may_use_primary(SERVICE, 10.0 + PRIMARY_LEASE_S - 0.01)
+    assert not state.may_use_primary(SERVICE, 10.0 + PRIMARY_LEASE_S)
+    again = (primary_row_key(SERVICE), StorePosition.at(1, 4), primary_row())
+    state.merge(versioned_rows(again), 16.1)
+    assert state.may_use_primary(SERVICE, 16.1)
+
+
+def test_no_duty_and_no_registration_of_a_former_era_holds(state):
+    state.enter_era(1, 10.1)
+    assert not state.is_registered()
+    assert not state.holds_duty(10.2)
+    assert state.version_of(DUTY_KEY) == 0
+    assert state.duty() == DutyRow("a", "1")
+
+
+def test_a_full_read_of_the_copy_hides_no_remembered_row(state):
+    state.enter_era(1, 10.1)
+    state.apply([], StorePosition.at(1, 2), as_of=10.2, now=10.2, is_full=True)
+    assert state.primary_row(SERVICE) == primary_row()
+    assert set(state.member_by_vm()) == {"a", "b"}
+    state.forget_former_members()
+    assert not state.member_by_vm()
+    assert [row.key for row in state.former_primary_rows()] == [
+        primary_row_key(SERVICE)
+    ]
--- a/packages/guavabarrow-core/tests/test_target_directory.py
+++ b/packages/guavabarrow-core/tests/test_target_directory.py
@@ -4,8 +4,11 @@
 
 from dataclasses import replace
 
+import pytest
+
 from guavabarrow_core.target_directory import (
     RECOVERY_GRACE_S,
+    RETURNED_ENTRY_S,
     TargetDirectory,
     TargetEntry,
 )
@@ -41,3 +44,32 @@
     directory = TargetDirectory()
     directory.apply_listing([FIRST], 1.0)
     assert directory.apply_listing([replace(FIRST, born_ms=5)], 2.0) == (["t1"], [])
+
+
+@pytest.mark.parametrize("born_ms", [1, 2])
+def test_an_older_copy_takes_no_drain_and_no_departure_back(born_ms):
+    """Statements went to targets that had left, until their old entries expired."""
+    ready = [
+        replace(SECOND, target_id=name, host=f"10.0.0.{number}", born_ms=1)
+        for number, name in enumerate(("drains", "leaves", "stays"), 1)
+    ]
+    directory = TargetDirectory()
+    directory.apply_listing(ready, now=1.0)
+    drains = replace(ready[0], is_draining=True)
+    directory.apply_listing([drains, ready[2]], now=2.0)
+    directory.record_return(3.0)
+    copy = [replace(entry, born_ms=born_ms) for entry in ready]
+    directory.apply_listing(copy, now=3.1)
+    is_same_process = born_ms == 1
+    assert directory.entry_by_id["drains"].is_draining == is_same_process
+    assert ("leaves" in directory.entry_by_id) != is_same_process
+    directory.apply_listing(copy, now=3.0 + RETURNED_ENTRY_S)
+    assert "leaves" in directory.entry_by_id
+
+
+def test_an_older_copy_removes_no_target_that_it_lacks():
+    directory = TargetDirectory()
+    directory.apply_listing([SECOND], now=1.0)
+    directory.record_return(2.0)
+    assert directory.apply_listing([], now=2.1) == ([], [])
+    assert directory.apply_listing([], now=2.2 + RECOVERY_GRACE_S) == ([], ["t2"])
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -115,6 +115,7 @@
         """Start to poll the list."""
         self._fleet.heartbeat_fillers.append(self._fill_heartbeat)
         self._fleet.on_rows.append(self._on_rows)
+        self._fleet.on_era.append(lambda: self.directory.record_return(now_s()))
         tasks = self.kernel.tasks
         tasks.start_loop("directory_poll", self._poll, self._reactor)
         self._trim_loop = tasks.create_periodic(
@@ -232,12 +233,16 @@
     async def refresh(self) -> None:
         """Read the list once."""
         try:
-            entries, problems = await self._source.read()
+            listing = await self._source.read()
         except StoreUnavailable:
             self.directory.record_outage(now_s())
             return
-        self._report_problems(problems)
-        self._apply_listing(entries, 0.0)
+        self._fleet.follow_era(listing.era, "store")
+        if listing.era != self._fleet.state.era:
+            # An answer of a former era that was overtaken.
+            return
+        self._report_problems(listing.problems)
+        self._apply_listing(listing.entries, 0.0)
 
     def _report_problems(self, problems: list[str]) -> None:
         for problem in set(problems) - self._reported_problems:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/duty_service.py
@@ -11,12 +11,14 @@
 from guavabarrow_core.fleet_state import (
     DUTY_KEY,
     DUTY_LEASE_S,
+    PRIMARY_LEASE_S,
     DutyRow,
     MemberRow,
     VersionedRow,
     member_key,
 )
 from guavabarrow_core.rendezvous import rank_of
+from guavabarrow_core.store_position import NO_POSITION
 from guavabarrow_daemon.fleet.contact_service import ContactService
 from guavabarrow_daemon.fleet.fleet_service import FleetService
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
@@ -69,6 +71,10 @@
 VACANT_DELAY_S = 0.1
 """Delay before a duty that has no holder is taken over."""
 
+FORMER_HOLDER_LEAD_S = 0.5
+"""Time for which the holder of a former era of the store may take the duty first. Its
+own rows are the newest of all VMs' on what it ordered."""
+
 TAKEOVER_STAGGER_S = 0.2
 """Additional delay per rank, so that candidates take over one after another."""
 
@@ -105,7 +111,7 @@
         self._active_from: float | None = None
         self._is_write_pending = False
         self._has_handed_over = False
-        self._released_version = 0
+        self._released_version = NO_POSITION
         self._marked_unavailable_at = float("-inf")
         self._registered_at: float | None = None
         self._check_loop: LoopingCall | None = None
@@ -144,7 +150,19 @@
 
     def _has_released(self) -> bool:
         version = self._fleet.state.version_of(DUTY_KEY)
-        return self._released_version == version > 0
+        return self._released_version == version > NO_POSITION
+
+    def former_leases_until(self) -> float:
+        """Return the local time, in s, at which all leases of former eras have ended.
+
+        VMs of which no row tells may use a primary until then: the store may have lost
+        their registrations.
+        """
+        duty = self._fleet.state.duty()
+        if duty is None or duty.era_since_store_s is None:
+            return float("-inf")
+        since = self._fleet.clock.latest_local(duty.era_since_store_s)
+        return since + PRIMARY_LEASE_S
 
     async def hand_over(self) -> None:
         """Release the duty, so that another VM can take it over immediately."""
@@ -152,7 +170,15 @@
         if not self._fleet.state.holds_duty(now_s()):
             return
         self._active_from = None
-        await self._fleet.write(DUTY_KEY, DutyRow("", ""))
+        await self._fleet.write(DUTY_KEY, self._new_row("", ""))
+
+    def _new_row(self, holder: str, incarnation: str) -> DutyRow:
+        state = self._fleet.state
+        duty = state.duty()
+        since_s = duty.era_since_store_s if duty is not None else None
+        if state.is_former(DUTY_KEY):
+            since_s = self._fleet.clock.latest_store(now_s())
+        return DutyRow(holder, incarnation, since_s)
 
     def _check(self) -> None:
         self._set_check_interval()
@@ -205,7 +231,7 @@
         """
         self._active_from = None
         self._released_version = self._fleet.state.version_of(DUTY_KEY)
-        log_decision("duty_released", version=self._released_version)
+        log_decision("duty_released", version=str(self._released_version))
         self._fleet.send_heartbeat_now()
 
     def _fill_heartbeat(self, draft: HeartbeatDraft) -> None:
@@ -216,20 +242,26 @@
         """Return whether another VM has given up the duty that it still holds."""
         _, heartbeat = self._fleet.last_heartbeat(holder)
         version = self._fleet.state.version_of(DUTY_KEY)
-        return heartbeat.released_duty == version > 0
+        return heartbeat.released_duty == version > NO_POSITION
 
     def _consider_takeover(self, now: float) -> None:
         state = self._fleet.state
         duty = state.duty()
         if self._is_write_pending or self._has_handed_over:
             return
+        is_former = state.is_former(DUTY_KEY)
         if duty is not None and duty.holder == state.vm:
-            if duty.incarnation != state.incarnation:
+            if is_former:
+                if self._fleet.store_lost_at is None:
+                    self._acquire(acts_in_s=DUTY_LEASE_S)
+            elif duty.incarnation != state.incarnation:
                 # The holder is a previous incarnation of this VM, which has ended.
                 self._acquire(acts_in_s=0.0)
             return
         self._active_from = None
-        has_holder = duty is not None and bool(duty.holder)
+        if is_former and now - state.era_since < FORMER_HOLDER_LEAD_S:
+            return
+        has_holder = duty is not None and bool(duty.holder) and not is_former
         is_starting = now - (self._registered_at or now) < STARTUP_GRACE_S
         if self._fleet.table_age_s() > MAX_TABLE_AGE_S or (has_holder and is_starting):
             # A VM that was disconnected or has just started cannot judge whether the
@@ -239,7 +271,7 @@
         if duty is not None and has_holder and self._is_released_by(duty.holder):
             self._take_over_released(duty.holder, now)
             return
-        if self._contact.reaches_holder():
+        if self._contact.reaches_holder() and not is_former:
             self._holder_lost_at = self._holder_unreachable_since = None
             return
         if self._holder_lost_at is None:
@@ -261,7 +293,7 @@
                 return
             delay_s += MINORITY_DELAY_S
         if now - self._holder_unreachable_since >= delay_s + rank * TAKEOVER_STAGGER_S:
-            self._acquire(acts_in_s=DUTY_LEASE_S if has_holder else 0.0)
+            self._acquire(acts_in_s=DUTY_LEASE_S if has_holder or is_former else 0.0)
 
     def _take_over_released(self, holder: str, now: float) -> None:
         if self._fleet.store_lost_at is not None:
@@ -318,7 +350,7 @@
         state = self._fleet.state
 
         async def acquire() -> None:
-            row = DutyRow(state.vm, state.incarnation)
+            row = self._new_row(state.vm, state.incarnation)
             try:
                 written = await self._fleet.write(DUTY_KEY, row)
             finally:
@@ -332,7 +364,7 @@
     def _activate(self, *, acts_in_s: float) -> None:
         self._active_from = now_s() + acts_in_s
         version = self._fleet.state.version_of(DUTY_KEY)
-        log_decision("duty_taken", version=version, acts_in_s=acts_in_s)
+        log_decision("duty_taken", version=str(version), acts_in_s=acts_in_s)
         for callback in self.on_acquired:
             callback()
 
@@ -354,14 +386,15 @@
         return self._links.is_peer(vm) or self._contact.is_reported_unreachable(vm)
 
     def _mark_unreachable_members(self, now: float) -> None:
-        for vm, member in list(self._fleet.state.member_by_vm().items()):
+        state = self._fleet.state
+        for vm, member in list(state.member_by_vm().items()):
             since = self._unreachable_since.get(vm, now)
             marked_at = self._marked_at.get(vm, float("-inf"))
             is_due = (
                 now - since > UNAVAILABLE_AFTER_S
                 and now - marked_at > MARK_AGAIN_DELAY_S
             )
-            if is_due and not member.is_out:
+            if is_due and not member.is_out and state.is_current_member(vm):
                 self._marked_at[vm] = now
                 out = replace(member, is_out=True)
                 self.kernel.tasks.start(
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_messages.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import zlib
+from typing import Any
 
 import msgspec
 
+from guavabarrow_core.store_position import NO_POSITION, StorePosition
 from guavabarrow_core.target_directory import TargetEntry
 from guavabarrow_core.usage_counts import UsageEntry
 from guavabarrow_daemon.fleet.hosted_messages import (
@@ -21,6 +23,9 @@
 UNKNOWN_AGE_S = 1e9
 """Age of data that was never received."""
 
+UNKNOWN_STORE_S = float("-inf")
+"""Store time of data that was not received in this era of the store."""
+
 
 class Hello(msgspec.Struct, frozen=True, tag="hello"):
     """First message of a connection, which identifies its sender."""
@@ -84,9 +89,13 @@
         Evidence against each target that the sender can't use.
     store_age_s : float
         Age of the sender's copy of the shared table, in s.
-    rows_version, orders_version : int
-        Newest row versions in the sender's copies of the shared and the operators'
-        table.
+    era : int
+        Newest era of the store that the sender knows.
+    rows_version, orders_version : StorePosition
+        Positions of the newest rows in the sender's copies of the shared and the
+        operators' table.
+    configuration_version : int
+        The operators' version of the configuration in force.
     orders_age_s : float
         Age of the sender's copy of the operators' table, in s, if it reads it itself.
     directory_age_s : float
@@ -96,8 +105,8 @@
     holder_hops : int
         1 if the sender is in contact with the duty holder or is it, 2 if a VM that it
         is in contact with is, 0 otherwise.
-    released_duty : int
-        Version of the duty's row if the sender holds the duty but has given it up.
+    released_duty : StorePosition
+        Position of the duty's row if the sender holds the duty but has given it up.
     unreachable : list of str or None
         Registered VMs of its failure domain that the sender is not in contact with;
         only hubs report them, to other domains.
@@ -128,13 +137,15 @@
     sent_s: float = 0.0
     suspected: dict[str, str] = {}
     store_age_s: float = UNKNOWN_AGE_S
-    rows_version: int = 0
-    orders_version: int = 0
+    era: int = 0
+    rows_version: StorePosition = NO_POSITION
+    orders_version: StorePosition = NO_POSITION
+    configuration_version: int = 0
     orders_age_s: float = UNKNOWN_AGE_S
     directory_age_s: float = UNKNOWN_AGE_S
     directory_change: int = 0
     holder_hops: int = 0
-    released_duty: int = 0
+    released_duty: StorePosition = NO_POSITION
     unreachable: list[str] | None = None
     lost_domains: list[str] = []
     domain_reports: dict[str, RelayedDomainReport] = {}
@@ -149,7 +160,7 @@
     """A table row with its value as stored, None if the row was deleted."""
 
     key: str
-    version: int
+    version: StorePosition
     value: bytes | None
     is_packed: bool = False
 
@@ -191,8 +202,8 @@
         The VM that stopped.
     service : str
         Service of the primary.
-    version : int
-        Version of the row that marks the replacement.
+    version : StorePosition
+        Position of the row that marks the replacement.
     relays_left : int
         How many more VMs may relay the message to the duty holder.
     """
@@ -200,7 +211,7 @@
     vm: str
     incarnation: str
     service: str
-    version: int
+    version: StorePosition
     relays_left: int = 0
 
 
@@ -211,19 +222,22 @@
     ----------
     number : int
         Identifies the request in the answer.
-    rows_version, orders_version : int
-        Newest row versions that the sender received of the tables.
+    rows_version, orders_version : StorePosition
+        Positions of the newest rows that the sender received of the tables.
     directory_change : int
         Digest of the sender's list of targets.
     wants_sponsor : bool
         Whether the sender can't register and requests a sponsorship.
+    configuration_version : int
+        The operators' version of the sender's configuration.
     """
 
     number: int
-    rows_version: int
-    orders_version: int
+    rows_version: StorePosition
+    orders_version: StorePosition
     directory_change: int
     wants_sponsor: bool = False
+    configuration_version: int = 0
 
 
 class TableAnswer(msgspec.Struct, frozen=True, tag="tell"):
@@ -237,18 +251,19 @@
         Store time that is not earlier than the moment of the answer, in s.
     heard_store_s : float
         Store time at which the shared table had these contents, in s.
-    fleet_version : int
-        Version up to which the shared table is complete.
-    rows_version : int
-        Version of its newest row.
+    fleet_version : StorePosition
+        Position up to which the shared table is complete.
+    rows_version : StorePosition
+        Position of its newest row.
     rows : list of SharedRow
         Rows that are newer than the version in the request.
-    orders_version : int
-        Version of the newest row of the operators' table.
+    orders_version : StorePosition
+        Position of the newest row of the operators' table.
     orders : list of SharedRow
-        Rows that are newer than the version in the request.
-    orders_read_version : int
-        Version of the store up to which the operators' table is complete, 0 if unknown.
+        Rows that are newer than the position in the request, and rows of former eras
+        that the store has lost.
+    orders_read_version : StorePosition
+        Position up to which the operators' table is complete, 0 if unknown.
     orders_store_s : float
         Store time of that version, in s.
     order_keys : list of str
@@ -261,23 +276,26 @@
         All entries, None if the requester already has this list.
     is_sponsor : bool
         Whether the sender grants the requested sponsorship.
+    era : int
+        Newest era of the store that the sender knows, to which the store times belong.
     """
 
     number: int
     store_s: float
     heard_store_s: float
-    fleet_version: int
-    rows_version: int
+    fleet_version: StorePosition
+    rows_version: StorePosition
     rows: list[SharedRow]
-    orders_version: int
+    orders_version: StorePosition
     orders: list[SharedRow]
-    orders_read_version: int = 0
-    orders_store_s: float = 0.0
+    orders_read_version: StorePosition = NO_POSITION
+    orders_store_s: float = UNKNOWN_STORE_S
     order_keys: list[str] = []
     directory_age_s: float = UNKNOWN_AGE_S
     directory_change: int = 0
     targets: list[TargetEntry] | None = None
     is_sponsor: bool = False
+    era: int = 0
 
 
 class ProbeRequest(msgspec.Struct, frozen=True, tag="probe"):
@@ -377,5 +395,12 @@
     | HostPong
 )
 
-ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(FleetMessage)
+
+def _decode_position(kind: type, value: Any) -> StorePosition:
+    if kind is not StorePosition or not isinstance(value, int) or value < 0:
+        raise ValueError(f"not a {kind.__name__}")
+    return StorePosition(value)
+
+
+ENCODER = msgspec.msgpack.Encoder(enc_hook=int)
+DECODER = msgspec.msgpack.Decoder(FleetMessage, dec_hook=_decode_position)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import deferLater
 
 from guavabarrow_core.fleet_state import (
+    PRIMARY_LEASE_S,
     SPONSORSHIP_S,
     FleetState,
     LeadRow,
@@ -18,8 +19,10 @@
 from guavabarrow_core.peer_topology import hubs_by_domain, peers_to_link
 from guavabarrow_core.service_host import HostSelection
 from guavabarrow_core.store_clock import StoreClock
+from guavabarrow_core.store_position import NO_POSITION, StorePosition
 from guavabarrow_daemon.fleet.fleet_messages import (
     UNKNOWN_AGE_S,
+    UNKNOWN_STORE_S,
     Departure,
     FleetMessage,
     FleetRows,
@@ -28,7 +31,12 @@
 )
 from guavabarrow_daemon.fleet.operator_orders import OperatorOrders
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
-from guavabarrow_daemon.fleet.row_codec import decode_row, encode_row
+from guavabarrow_daemon.fleet.row_codec import (
+    decode_row,
+    encode_row,
+    parse_stored_row,
+    stored_key,
+)
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
@@ -36,10 +44,11 @@
 from guavabarrow_daemon.store.exceptions import HistoryDropped, StoreUnavailable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from twisted.internet.task import LoopingCall
 
+    from guavabarrow_core.operator_rows import TableRow
     from guavabarrow_core.session_configuration import SessionConfiguration
     from guavabarrow_daemon.session_settings import SessionVmSettings
     from guavabarrow_daemon.store.watched_table import (
@@ -87,6 +96,7 @@
 """Age of a table up to which a VM relies on its observer's copy."""
 
 RELAY_CHECK_INTERVAL_S = 0.3
+MEMBER_PREFIX = member_key("")
 MAX_OBSERVER_AGE_S = 0.1
 """Time for which the choice of the observer is kept; it is needed for each message."""
 
@@ -130,6 +140,8 @@
     on_rows, on_heartbeat, on_departure : list of callable
         Called with changed rows; with each heartbeat that was received; with the name
         of a VM that has stopped as planned.
+    on_era : list of callable
+        Called after the store has returned from an older copy.
     heartbeat_fillers : list of callable
         Called with the draft of each heartbeat to add fields.
     hubs_by_domain : dict of str to tuple of str
@@ -167,6 +179,7 @@
         self.on_rows: list[Callable[[list[VersionedRow]], None]] = []
         self.on_heartbeat: list[Callable[[str, PeerHeartbeat], None]] = []
         self.on_departure: list[Callable[[str], None]] = []
+        self.on_era: list[Callable[[], None]] = []
         self.heartbeat_fillers: list[Callable[[HeartbeatDraft], None]] = []
         self.store_lost_at: float | None = None
         self.store_failed_at = float("-inf")
@@ -179,7 +192,7 @@
         self._settings = settings
         self._table = table
         self._reactor = reactor
-        self.heard_store_s = 0.0
+        self.heard_store_s = UNKNOWN_STORE_S
         self._links = kernel.find(PeerLinks)
         self._heartbeat_by_vm: dict[str, tuple[float, PeerHeartbeat]] = {}
         self._incarnation_by_vm: dict[str, str] = {}
@@ -201,6 +214,10 @@
         self._links.on_peer_up.append(self._on_peer_up)
         self.orders.on_changed.append(self._on_orders_changed)
         self.orders.on_unconfirmed.append(self._on_orders_unconfirmed)
+        self.orders.on_lost = lambda: self.kernel.tasks.start(
+            "orders_recovery", self._read_orders(0.0)
+        )
+        self.orders.on_newer_era = lambda era: self.follow_era(era, "store")
         tasks = self.kernel.tasks
         tasks.start_loop("table_watch", self._watch_table, self._reactor)
         tasks.start_loop("orders_watch", self._watch_orders, self._reactor)
@@ -239,6 +256,57 @@
             and heartbeat.directory_age_s < UNKNOWN_AGE_S
         )
 
+    def follow_era(self, era: int, source: str) -> None:
+        """Treat all copies as those of a former era if the store has a newer one.
+
+        Parameters
+        ----------
+        era : int
+            Era of the store.
+        source : str
+            VM that knows it, or the store.
+        """
+        former = self.state.era
+        if era <= former:
+            return
+        is_return = max(self.state.version, self.orders.rows.version) > NO_POSITION
+        log_decision(
+            "store_era_entered",
+            era=era,
+            former=former,
+            source=source,
+            is_return=is_return,
+            table=str(self.state.version),
+            orders=str(self.orders.rows.version),
+            rows_to_write=len(self.state.row_by_key),
+            orders_to_confirm=len(self.orders.live_keys()),
+        )
+        metrics = self.kernel.find(SessionMetrics)
+        metrics.store_era.set(era)
+        self.clock.reset()
+        self.heard_store_s = UNKNOWN_STORE_S
+        self.state.enter_era(era, now_s())
+        self.orders.enter_era(era)
+        if not is_return:
+            return
+        metrics.store_returns.inc()
+        self._reactor.callLater(PRIMARY_LEASE_S, self._forget_former_members, era)
+        self._send_former_rows(self._links.connected_vms())
+        for callback in self.on_era:
+            callback()
+        self.send_heartbeat_now()
+
+    def _forget_former_members(self, era: int) -> None:
+        if self.state.era == era and not self.is_stopping:
+            self.state.forget_former_members()
+            self._update_peers()
+
+    def _send_former_rows(self, vms: Iterable[str]) -> None:
+        """Send remembered rows of primaries, of which the store may have older ones."""
+        rows = [_to_shared_row(row) for row in self.state.former_primary_rows()]
+        if rows:
+            self._links.send_to(vms, FleetRows(rows))
+
     async def write(self, key: str, row: Any) -> TableWriteResult | None:
         """Write a row if the store still has the cached version, and broadcast it.
 
@@ -252,27 +320,36 @@
         Returns
         -------
         TableWriteResult or None
-            None if the store did not answer; the write may still be applied later.
+            None if the store did not answer, or not in the era of the row; the write
+            may still be applied later.
         """
         sent_at = now_s()
         value = None if row is None else encode_row(row)
+        era = self.state.era
         try:
-            written = await self._table.write(key, value, self.state.version_of(key))
+            written = await self._table.write(
+                stored_key(era, key), value, self.state.version_of(key)
+            )
         except StoreUnavailable as error:
             self._record_store_access(False, str(error))
             return None
         self._record_store_access(True)
-        received_at = now_s()
-        self.clock.observe(
-            store_s=written.store_s, sent_at=sent_at, received_at=received_at
-        )
+        answer_era = StorePosition(written.version).era
+        self.follow_era(answer_era, "store")
+        is_current = answer_era == era == self.state.era
         log_decision(
             "shared_row_written",
             key=key,
+            era=era,
             applied=written.is_applied,
-            version=written.version,
+            version=str(written.version),
             row=str(row),
         )
+        if not is_current:
+            return None
+        self.clock.observe(
+            store_s=written.store_s, sent_at=sent_at, received_at=now_s()
+        )
         if written.is_applied:
             shared = SharedRow(key, written.version, value)
             self._links.broadcast(FleetRows([shared]))
@@ -314,9 +391,13 @@
                 wait_s = (
                     HOLDER_WATCH_TIMEOUT_S if self.is_duty_holder() else WATCH_TIMEOUT_S
                 )
-                reading = await self._table.watch(self.state.version, wait_s)
+                after = self.state.version
+                reading = await self._table.watch(after, wait_s)
+                reading.require_era_of(after)
             except HistoryDropped:
-                log_decision("shared_table_history_dropped", version=self.state.version)
+                log_decision(
+                    "shared_table_history_dropped", version=str(self.state.version)
+                )
                 if not await self.refresh():
                     await deferLater(self._reactor, RETRY_DELAY_S, lambda: None)
                 continue
@@ -351,12 +432,17 @@
         if is_full:
             log_decision(
                 "shared_table_read",
-                version=reading.version,
-                known_version=self.state.version,
+                version=str(reading.version),
+                known_version=str(self.state.version),
                 rows=len(reading.rows),
             )
+        era = StorePosition(reading.version).era
+        self.follow_era(era, "store")
+        if era != self.state.era:
+            # An answer of a former era that was overtaken.
+            return
         self.clock.observe(store_s=reading.store_s, sent_at=sent_at, received_at=now)
-        rows = [decode_row(row.key, row.value, row.version) for row in reading.rows]
+        rows = [row for row in map(_decode_stored, reading.rows) if self._follows(row)]
         as_of = max(sent_at, self.clock.earliest_local(reading.store_s))
         self.heard_store_s = max(self.heard_store_s, reading.store_s)
         changed = self.state.apply(
@@ -364,6 +450,12 @@
         )
         self._notify_changed_rows(changed)
 
+    def _follows(self, row: VersionedRow) -> bool:
+        """Return whether a stored row counts, or may be a hint of a former era."""
+        is_member = row.key.startswith(MEMBER_PREFIX)
+        era = row.version.era
+        return era == self.state.era or (era < self.state.era and not is_member)
+
     def _merge_rows(self, rows: list[SharedRow]) -> None:
         decoded = [decode_row(row.key, row.value, row.version) for row in rows]
         self._notify_changed_rows(self.state.merge(decoded, now_s()))
@@ -396,13 +488,7 @@
         if not self.is_hub() or self.observer() != self.state.vm:
             return
         rows = [
-            SharedRow(
-                row.key,
-                row.version,
-                None if row.row is None else encode_row(row.row),
-            )
-            for row in changed
-            if not isinstance(row.row, MemberRow)
+            _to_shared_row(row) for row in changed if not isinstance(row.row, MemberRow)
         ]
         members = self.state.member_by_vm()
         hubs = self.hubs_by_domain.get(self.domain, ())
@@ -456,6 +542,7 @@
             draft.inside if member is not None and member.domain == self.domain else {}
         )
         self._links.send(vm, PeerHeartbeat(**draft.common, **inside))
+        self._send_former_rows([vm])
 
     def is_hub(self) -> bool:
         """Return whether this VM is a hub of its failure domain."""
@@ -475,7 +562,9 @@
         try:
             await self.orders.read(wait_s)
         except HistoryDropped:
-            log_decision("orders_history_dropped", version=self.orders.rows.version)
+            log_decision(
+                "orders_history_dropped", version=str(self.orders.rows.version)
+            )
         except StoreUnavailable as error:
             self._record_store_access(False, str(error))
             return False
@@ -528,7 +617,11 @@
         return now_s() - at, heartbeat
 
     def apply_relayed_table(
-        self, rows: list[SharedRow], version: int, rows_version: int, store_s: float
+        self,
+        rows: list[SharedRow],
+        version: StorePosition,
+        rows_version: StorePosition,
+        store_s: float,
     ) -> None:
         """Apply the shared table as cached by another VM.
 
@@ -536,8 +629,8 @@
         ----------
         rows : list of SharedRow
             Rows newer than those cached here; may be empty.
-        version, rows_version : int
-            Version up to which the sender has all rows, and that of the newest row.
+        version, rows_version : StorePosition
+            Position up to which the sender has all rows, and that of the newest row.
         store_s : float
             Store time of the reading that the sender's copy is based on.
         """
@@ -661,9 +754,13 @@
         # Until a configuration is in force, this VM is no host and no source of orders.
         has_orders = self.configuration is not None
         common = {
+            "era": self.state.era,
             "store_age_s": self.table_age_s(),
             "rows_version": self.state.rows_version,
-            "orders_version": self.orders.rows.newest_version if has_orders else 0,
+            "orders_version": (
+                self.orders.rows.newest_version if has_orders else NO_POSITION
+            ),
+            "configuration_version": self.orders.configuration_version,
             "orders_age_s": self._announced_orders_age_s(),
             "is_leaving": self.is_leaving,
         }
@@ -688,10 +785,12 @@
     def _on_message(self, vm: str, message: FleetMessage) -> None:
         match message:
             case PeerHeartbeat():
+                self.follow_era(message.era, vm)
                 self._heartbeat_by_vm[vm] = (now_s(), message)
                 for callback in self.on_heartbeat:
                     callback(vm, message)
             case FleetRows(rows):
+                self.follow_era(max((row.version.era for row in rows), default=0), vm)
                 self._merge_rows(rows)
             case Departure(incarnation):
                 log_decision("vm_departed", vm=vm, incarnation=incarnation)
@@ -704,3 +803,13 @@
         member = self.state.member_by_vm().get(vm)
         incarnation, at = self._departure_by_vm.get(vm, ("", 0.0))
         return at if member is not None and member.incarnation == incarnation else None
+
+
+def _decode_stored(row: TableRow) -> VersionedRow:
+    key, position = parse_stored_row(row.key, StorePosition(row.version))
+    return decode_row(key, row.value, position)
+
+
+def _to_shared_row(row: VersionedRow) -> SharedRow:
+    value = None if row.row is None else encode_row(row.row)
+    return SharedRow(row.key, row.version, value)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
@@ -4,6 +4,10 @@
 each. When a process starts or was suspended, orders may have changed unnoticed. They
 then count as unconfirmed until a copy of a later moment has arrived. That is awaited
 for a limited time only, because a VM that reaches nobody serves with what it has.
+
+If the store has returned from an older copy, it lacks rows until the operators have
+written them again. The version inside a configuration tells which one is newer.
+Evacuations have none, so what this VM knows of them counts for a limited time.
 """
 
 from __future__ import annotations
@@ -15,6 +19,7 @@
 
 from guavabarrow_core.operator_rows import NEVER, OperatorRows
 from guavabarrow_core.session_configuration import SessionConfiguration
+from guavabarrow_core.store_position import MAX_VERSION, NO_POSITION, StorePosition
 from guavabarrow_daemon.decoding import UndecodableValue
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
@@ -43,6 +48,11 @@
 """Time without a turn of the event loop after which it counts as suspended."""
 
 
+RECOVERY_S = 2.5
+"""Time within which the operators have written again what the store has lost, as the
+targets have; well below the time within which an evacuation has to be followed."""
+
+
 class OperatorOrders:
     """Configuration and evacuations in force at this VM.
 
@@ -63,6 +73,12 @@
         Rows of the operators' table, without those that can't be decoded.
     has_read : bool
         Whether this VM has read the whole table from the store.
+    era : int
+        Era of the store that this VM knows.
+    on_newer_era : callable
+        Called with the era of a reading that is newer.
+    on_lost : callable
+        Called when rows were not written again, and the table has to be read.
     on_changed : list of callable
         Called after rows changed.
     on_unconfirmed : list of callable
@@ -73,6 +89,9 @@
         self.evacuated: frozenset[str] = frozenset()
         self.rows = OperatorRows()
         self.has_read = False
+        self.era = 0
+        self.on_newer_era: Callable[[int], None] = self.enter_era
+        self.on_lost: Callable[[], None] = lambda: None
         self.on_changed: list[Callable[[], None]] = []
         self.on_unconfirmed: list[Callable[[], None]] = []
         self._source = source
@@ -83,6 +102,11 @@
         self._order_by_key: dict[str, SessionConfiguration | Evacuation | None] = {}
         self._undecodable_by_key: dict[str, TableRow] = {}
         self._read_at = NEVER
+        self._era_read_from = MAX_VERSION
+        self._is_recovering = False
+        self._disputed_by_key: dict[str, TableRow] = {}
+        self._needs_full_read = True
+        self._recovery_timer: Any = None
         self._turned_at = now_s()
         self._unconfirmed_since = self._turned_at
         self._is_confirmed = False
@@ -96,6 +120,12 @@
         """Configuration in force, None until one has been confirmed after the start."""
         return self._received if self._has_been_confirmed else None
 
+    @property
+    def configuration_version(self) -> int:
+        """The operators' version of the configuration in force, 0 without one."""
+        configuration = self.configuration
+        return configuration.version if configuration is not None else 0
+
     @property
     def age_s(self) -> float:
         """Time since the rows were last known to be complete, in s."""
@@ -107,20 +137,20 @@
         return now_s() - self._read_at
 
     @property
-    def received_version(self) -> int:
-        """Version of the newest row received, up to which other VMs aren't asked.
+    def received_version(self) -> StorePosition:
+        """Position of the newest row received, up to which other VMs aren't asked.
 
         Without a configuration it is 0: if the newest one can't be decoded, others may
         still have the one before it.
         """
         if self._received is None:
-            return 0
+            return NO_POSITION
         undecodable = [row.version for row in self._undecodable_by_key.values()]
-        return max(self.rows.newest_version, *undecodable, 0)
+        return max(self.rows.newest_version, self.rows.version, *undecodable)
 
     @property
-    def request_version(self) -> int:
-        """Version after which rows are requested from other VMs.
+    def request_version(self) -> StorePosition:
+        """Position after which rows are requested from other VMs.
 
         The pages of a full read are not of one moment: a row may be known that is newer
         than one that is not.
@@ -131,20 +161,44 @@
 
     # Relaying rows
 
-    def newer_than(self, version: int) -> list[TableRow]:
-        """Return the rows that changed after a version, oldest first.
+    def rows_for(
+        self, version: StorePosition, configuration_version: int
+    ) -> list[TableRow]:
+        """Return the rows that another VM lacks, oldest first.
 
         Undecodable rows are included, as the other VM may run a version that decodes
-        them; without them its copy wouldn't be complete.
+        them, and so are rows that this VM doesn't follow yet; without them its copy
+        wouldn't be complete.
+
+        Parameters
+        ----------
+        version : StorePosition
+            Position up to which it has received rows. That doesn't tell whether it has
+            rows of former eras, which the store may have lost.
+        configuration_version : int
+            Version of its configuration.
         """
-        undecodable = [row for row in self._live_undecodable() if row.version > version]
-        rows = [*self.rows.newer_than(version), *undecodable]
+        unused = [*self._live_undecodable(), *self._disputed_by_key.values()]
+        unused = [row for row in unused if row.version > version]
+        former = [
+            row
+            for row in self.rows.former()
+            if row.version <= version
+            and self._is_worth_sending(row, configuration_version)
+        ]
+        rows = [*self.rows.newer_than(version), *unused, *former]
         return sorted(rows, key=lambda row: row.version)
 
+    def _is_worth_sending(self, row: TableRow, configuration_version: int) -> bool:
+        order = self._order_by_key.get(row.key)
+        if isinstance(order, SessionConfiguration):
+            return order.version > configuration_version
+        return self._is_recovering
+
     def live_keys(self) -> list[str]:
         """Return the keys of all rows of the table, sorted."""
         undecodable = {row.key for row in self._live_undecodable()}
-        return sorted(undecodable.union(self.rows.live_keys()))
+        return sorted(undecodable.union(self.rows.live_keys(), self._disputed_by_key))
 
     def _live_undecodable(self) -> list[TableRow]:
         known = self.rows.row_by_key
@@ -172,29 +226,87 @@
             If the store did not answer.
         """
         sent_at = now_s()
-        is_full = not self.has_read
+        is_full = self._needs_full_read or not self.has_read
         if is_full:
             reading = await self._source.read()
             self.has_read = True
         else:
             try:
-                reading = await self._source.watch(self.rows.version, wait_s)
+                after = self.rows.version
+                reading = await self._source.watch(after, wait_s)
+                reading.require_era_of(after)
             except HistoryDropped:
                 self.has_read = False
                 raise
         self._apply_reading(reading, sent_at, is_full=is_full)
 
+    def enter_era(self, era: int) -> None:
+        """Keep what is known while the store may lack it.
+
+        Parameters
+        ----------
+        era : int
+            Present era of the store, newer than the known one.
+        """
+        self.era = era
+        self._needs_full_read = True
+        self._era_read_from = MAX_VERSION
+        self.rows.store_s = NEVER
+        self._stop_recovering()
+        if self.rows.row_by_key:
+            self._is_recovering = True
+            self._recovery_timer = self._reactor.callLater(
+                RECOVERY_S, self._end_recovery
+            )
+
+    def _stop_recovering(self) -> None:
+        self._is_recovering = False
+        self._disputed_by_key.clear()
+        if self._recovery_timer is not None and self._recovery_timer.active():
+            self._recovery_timer.cancel()
+
+    def _end_recovery(self) -> None:
+        """Follow the store again, also where it disagrees with this VM."""
+        lost = [
+            row.key
+            for row in self.rows.former()
+            if row.value is not None
+            and isinstance(self._order_by_key.get(row.key), Evacuation)
+        ]
+        disputed = list(self._disputed_by_key.values())
+        log_decision(
+            "orders_recovered",
+            era=self.era,
+            lost=lost,
+            disputed=[row.key for row in disputed],
+        )
+        self._stop_recovering()
+        changed = self.rows.merge(self._decode_newer(disputed))
+        if changed:
+            self._receive(changed, "store")
+        if lost:
+            self._needs_full_read = True
+            self.on_lost()
+
     def _apply_reading(
         self, reading: TableReadResult, sent_at: float, *, is_full: bool
     ) -> None:
-        self._read_at = now_s()
+        era = StorePosition(reading.version).era
         if is_full:
             log_decision(
                 "orders_read",
-                version=reading.version,
-                known_version=self.rows.version,
-                row_versions={row.key: row.version for row in reading.rows},
+                version=str(reading.version),
+                known_version=str(self.rows.version),
+                row_versions={row.key: str(row.version) for row in reading.rows},
             )
+        if era > self.era:
+            self.on_newer_era(era)
+        if era != self.era:
+            # An answer of a former era that was overtaken.
+            return
+        if is_full:
+            self._needs_full_read = False
+        self._read_at = now_s()
         self._clock.observe(
             store_s=reading.store_s, sent_at=sent_at, received_at=self._read_at
         )
@@ -212,7 +324,7 @@
         rows: Iterable[TableRow],
         *,
         source: str,
-        version: int,
+        version: StorePosition,
         store_s: float,
         live_keys: Collection[str],
     ) -> None:
@@ -224,7 +336,7 @@
             Rows that are newer than those received before.
         source : str
             The other VM.
-        version, store_s, live_keys : int, float, collection of str
+        version, store_s, live_keys : StorePosition, float, collection of str
             What its copy is complete up to; see :meth:`OperatorRows.complete`. A
             version of 0 says that this isn't known.
         """
@@ -242,18 +354,28 @@
         rows: Iterable[TableRow],
         *,
         source: str,
-        version: int,
+        version: StorePosition,
         as_of: float,
         store_s: float,
         live_keys: Collection[str] | None,
     ) -> None:
         """Apply rows, and what is known of the copy that they come from."""
+        position = StorePosition(version)
+        if position.era == self.era and position != NO_POSITION:
+            self._era_read_from = min(self._era_read_from, position.version)
+        rows = list(rows)
         changed = self.rows.merge(self._decode_newer(rows))
+        changed += self._take_remembered(rows)
         if live_keys is not None and version >= max(self.rows.version, 1):
-            self._drop_undecodable(version, live_keys)
+            self._drop_unused(self._undecodable_by_key, version, live_keys)
+            self._drop_unused(self._disputed_by_key, version, live_keys)
         if version > 0:
             changed += self.rows.complete(
-                version, as_of=as_of, store_s=store_s, live_keys=live_keys
+                version,
+                as_of=as_of,
+                store_s=store_s,
+                live_keys=live_keys,
+                keeps_former=self._is_recovering,
             )
         if changed:
             self._receive(changed, source)
@@ -271,29 +393,82 @@
                 continue
             if row.value is not None:
                 try:
-                    self._order_by_key[row.key] = self._source.decode(row)
+                    order = self._source.decode(row)
                 except UndecodableValue as error:
                     self._reject(row, error)
                     continue
+                if self._is_taken_back(row, order):
+                    continue
+                self._order_by_key[row.key] = order
             newer.append(row)
         return newer
 
+    def _take_remembered(self, rows: list[TableRow]) -> list[TableRow]:
+        """Store configurations that the store has lost and another VM remembers."""
+        taken = []
+        for row in rows:
+            known = self.rows.row_by_key.get(row.key)
+            if row.value is None or known is None or known.era <= row.era:
+                continue
+            try:
+                order = self._source.decode(row)
+            except UndecodableValue as error:
+                self._reject(row, error)
+                continue
+            if not isinstance(order, SessionConfiguration):
+                continue
+            if self._received is None or order.version > self._received.version:
+                self._order_by_key[row.key] = order
+                self.rows.put(row)
+                taken.append(row)
+        return taken
+
+    def _is_taken_back(
+        self, row: TableRow, order: SessionConfiguration | Evacuation | None
+    ) -> bool:
+        """Return whether a row is an older one that the store has returned to.
+
+        Versions that the store gave out before its first reading in this era may be of
+        the copy that it returned from.
+        """
+        if isinstance(order, SessionConfiguration):
+            return self._received is not None and order.version < self._received.version
+        known = self.rows.row_by_key.get(row.key)
+        is_restored = (
+            self._is_recovering
+            and known is not None
+            and known.era < row.era
+            and StorePosition(row.version).version <= self._era_read_from
+        )
+        if is_restored:
+            self._disputed_by_key[row.key] = row
+        return is_restored
+
     def _reject(self, row: TableRow, error: UndecodableValue) -> None:
         known = self._undecodable_by_key.get(row.key)
         if known is None or row.version > known.version:
             self._undecodable_by_key[row.key] = row
-            logger.bind(key=row.key, row_version=row.version, error=str(error)).error(
-                "configuration_unreadable"
-            )
-
-    def _drop_undecodable(self, version: int, live_keys: Collection[str]) -> None:
-        for key, row in list(self._undecodable_by_key.items()):
+            logger.bind(
+                key=row.key, row_version=str(row.version), error=str(error)
+            ).error("configuration_unreadable")
+
+    @staticmethod
+    def _drop_unused(
+        row_by_key: dict[str, TableRow],
+        version: StorePosition,
+        live_keys: Collection[str],
+    ) -> None:
+        for key, row in list(row_by_key.items()):
             if key not in live_keys and row.version <= version:
-                del self._undecodable_by_key[key]
+                del row_by_key[key]
 
     def _receive(self, changed: list[TableRow], source: str) -> None:
         for row in changed:
-            if row.value is None:
+            disputed = self._disputed_by_key.get(row.key)
+            if disputed is not None and disputed.version <= row.version:
+                del self._disputed_by_key[row.key]
+            # A deletion may have arrived together with a newer row.
+            if self.rows.row_by_key[row.key].value is None:
                 self._order_by_key.pop(row.key, None)
         orders = self._order_by_key.values()
         evacuated = frozenset(
@@ -305,7 +480,7 @@
                 "evacuations_changed",
                 domains=sorted(evacuated),
                 source=source,
-                row_version=self.rows.newest_version,
+                row_version=str(self.rows.newest_version),
             )
         for order in orders:
             if isinstance(order, SessionConfiguration) and (
@@ -325,7 +500,7 @@
                 version=configuration.version,
                 routes=len(configuration.route_by_database),
                 source=self._received_from,
-                row_version=self.rows.newest_version,
+                row_version=str(self.rows.newest_version),
             )
 
     # Confirmation
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_service.py
@@ -27,6 +27,7 @@
     from collections.abc import Callable
 
     from guavabarrow_core.log_position import LogPosition
+    from guavabarrow_core.store_position import StorePosition
     from guavabarrow_core.target_directory import TargetEntry
     from guavabarrow_daemon.fleet.fleet_service import HeartbeatDraft
 
@@ -54,8 +55,8 @@
 
     Parameters
     ----------
-    version : int
-        Version of the row that marks the replacement.
+    version : StorePosition
+        Position of the row that marks the replacement.
     sponsored_until : float
         Local time, in s, at which the sponsorships granted before have expired.
     is_stopped : bool
@@ -64,7 +65,7 @@
         Local time of the last confirmation, in s.
     """
 
-    version: int
+    version: StorePosition
     sponsored_until: float
     is_stopped: bool = False
     sent_at: float = float("-inf")
@@ -84,7 +85,7 @@
 
     def __init__(self, kernel: Kernel, reactor: Any) -> None:
         super().__init__(kernel)
-        self.on_stopped: list[Callable[[str, int], None]] = []
+        self.on_stopped: list[Callable[[str, StorePosition], None]] = []
         self._reactor = reactor
         self._fleet = kernel.find(FleetService)
         self._directory = kernel.find(DirectoryService)
@@ -134,7 +135,7 @@
             return False
         stop = self._stop_by_service.get(service)
         is_draining = stop is not None and not stop.is_stopped
-        return is_draining and self._fleet.state.has_primary_lease(now_s())
+        return is_draining and self._fleet.state.has_lease_of(service, now_s())
 
     def replacement_wait_s(self, service: str) -> float:
         """Return how long a statement should wait for a running replacement, in s.
@@ -213,7 +214,7 @@
             for deferred in waiters:
                 deferred.callback(None)
 
-    def _stop_using(self, primary_row: LeadRow, version: int) -> None:
+    def _stop_using(self, primary_row: LeadRow, version: StorePosition) -> None:
         stop = self._stop_by_service.get(primary_row.service)
         if stop is not None and stop.version == version:
             return
@@ -252,7 +253,7 @@
             self._confirm_stop(primary_row.service, stop)
 
     def _is_current(self, service: str, stop: PrimaryStop) -> bool:
-        return self._fleet.state.version_of(primary_row_key(service)) == stop.version
+        return self._fleet.state.position_of(primary_row_key(service)) == stop.version
 
     def _confirm_stop(self, service: str, stop: PrimaryStop) -> None:
         if not self._is_current(service, stop):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -47,6 +47,7 @@
 
 if TYPE_CHECKING:
     from guavabarrow_core.session_messages import TargetStatus
+    from guavabarrow_core.store_position import StorePosition
     from guavabarrow_core.target_directory import TargetEntry
     from guavabarrow_daemon.store.watched_table import PromotionAuthority
 
@@ -96,7 +97,7 @@
         self._primary_watch = kernel.find(PrimaryWatch)
         self._admin_client = TargetAdminClient(self._directory.create_codec, reactor)
         self._promotion_by_service: dict[str, Promotion] = {}
-        self._acknowledgements: dict[tuple[str, int], dict[str, str]] = {}
+        self._acknowledgements: dict[tuple[str, StorePosition], dict[str, str]] = {}
         self._initializing: set[str] = set()
         self._initializing_since: dict[str, float] = {}
         self._other_primary_since: dict[str, float] = {}
@@ -138,8 +139,8 @@
 
     def _check_service(self, service: str, now: float) -> None:
         primary_row = self._fleet.state.primary_row(service)
-        if primary_row is None:
-            self._initialize_row(service)
+        if primary_row is None or self._fleet.state.is_former(primary_row_key(service)):
+            self._initialize_row(service, primary_row)
             return
         if primary_row.phase is LeadPhase.MOVING:
             self._start_promotion(
@@ -196,29 +197,64 @@
         since = self._other_primary_since.setdefault(entry.service, now)
         return now - since > LISTING_LAG_S
 
-    def _initialize_row(self, service: str) -> None:
+    def _initialize_row(self, service: str, former: LeadRow | None) -> None:
+        """Write the first row of a service in this era of the store.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        former : LeadRow or None
+            Newest row of a former era.
+        """
         listed = [
             entry
             for entry in self._directory.directory.of_service(service)
             if entry.is_primary
         ]
-        if not listed or service in self._initializing:
+        if not (listed or former) or service in self._initializing:
             return
         self._initializing.add(service)
 
         async def initialize() -> None:
             try:
                 statuses = await self._admin_client.statuses(listed)
-                primary_id = self._first_primary(service, listed, statuses)
-                if primary_id is not None and self._duty.may_order_promotions():
-                    term = statuses[primary_id].term
-                    row = LeadRow(service, LeadPhase.SETTLED, primary_id, term)
+                row = self._first_row(service, listed, statuses, former)
+                if row is not None and self._duty.may_order_promotions():
                     await self._fleet.write(primary_row_key(service), row)
             finally:
                 self._initializing.discard(service)
 
         self.kernel.tasks.start("primary_row_initialize", initialize())
 
+    def _first_row(
+        self,
+        service: str,
+        listed: list[TargetEntry],
+        statuses: dict[str, TargetStatus],
+        former: LeadRow | None,
+    ) -> LeadRow | None:
+        """Return a service's first row in an era, None if it isn't known yet.
+
+        A target that leads a newer term than the remembered one was promoted under a
+        row that is lost. A replacement that was in progress is resumed.
+        """
+        if former is None:
+            primary_id = self._first_primary(service, listed, statuses)
+            if primary_id is None:
+                return None
+            term = statuses[primary_id].term
+            return LeadRow(service, LeadPhase.SETTLED, primary_id, term)
+        newer = {
+            status.term: target_id
+            for target_id, status in statuses.items()
+            if status.is_primary and status.term > former.term
+        }
+        if not newer:
+            return former
+        term = max(newer)
+        return LeadRow(service, LeadPhase.SETTLED, newer[term], term)
+
     def _first_primary(
         self,
         service: str,
@@ -388,7 +424,7 @@
         del self._promotion_by_service[promotion.service]
         return False
 
-    def _may_order(self, promotion: Promotion, token: int) -> bool:
+    def _may_order(self, promotion: Promotion, token: StorePosition) -> bool:
         """Return whether a promotion may be requested under a fencing token."""
         return (
             self._is_current(promotion)
@@ -423,7 +459,8 @@
         missing = [
             vm
             for vm, member in state.member_by_vm().items()
-            if stopped.get(vm) != member.incarnation
+            if state.is_current_member(vm)
+            and stopped.get(vm) != member.incarnation
             and not self._has_departed(vm, now)
             and not state.lease_has_expired(member, promotion.marked_at, now)
         ]
@@ -439,7 +476,7 @@
             )
             self._start_actions(promotion, promotion.on_primary_recovered())
             return
-        if missing:
+        if missing or now < self._duty.former_leases_until():
             return
         log_decision(
             "primary_free",
@@ -511,7 +548,7 @@
                     promotion.service,
                     target_id,
                     holder=self._fleet.state.vm,
-                    fencing_token=token,
+                    fencing_token=int(token),
                     may_send=lambda: self._may_order(promotion, token),
                 )
                 break
@@ -595,7 +632,7 @@
         if isinstance(message, PrimaryUseStopped):
             self._record_acknowledgement(message)
 
-    def _on_local_stop(self, service: str, version: int) -> None:
+    def _on_local_stop(self, service: str, version: StorePosition) -> None:
         state = self._fleet.state
         self._record_acknowledgement(
             PrimaryUseStopped(state.vm, state.incarnation, service, version)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -14,6 +15,7 @@
     MemberRow,
     VersionedRow,
 )
+from guavabarrow_core.store_position import StorePosition
 from guavabarrow_core.target_directory import MAX_NAME_LENGTH, MAX_PORT
 from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.operations.decision_log import log_decision
@@ -53,6 +55,7 @@
 
     holder: Text
     incarnation: Text
+    era_since_store_s: float | None = None
 
 
 StoredRow = StoredMember | StoredPrimary | StoredDuty
@@ -65,6 +68,41 @@
     row: stored for stored, row in ROW_TYPE_BY_STORED_TYPE.items()
 }
 DECODER = msgspec.json.Decoder(StoredRow)
+ERA_PREFIX = re.compile("([0-9]{1,6})/(.+)", re.DOTALL)
+"""Keys of a store without eras begin with a letter."""
+
+
+def stored_key(era: int, key: str) -> str:
+    """Return the key under which a row of an era is stored.
+
+    Examples
+    --------
+    >>> stored_key(0, "duty"), stored_key(2, "duty")
+    ('duty', '2/duty')
+    """
+    return f"{era}/{key}" if era else key
+
+
+def parse_stored_row(stored: str, position: StorePosition) -> tuple[str, StorePosition]:
+    """Return a row's key, and its position in the era in which it was written.
+
+    Parameters
+    ----------
+    stored : str
+        Key under which the row is stored.
+    position : StorePosition
+        Its position as read, in the present era.
+
+    Examples
+    --------
+    >>> key, position = parse_stored_row("1/duty", StorePosition.at(2, 30))
+    >>> key, str(position)
+    ('duty', '1.30')
+    """
+    match = ERA_PREFIX.fullmatch(stored)
+    if match is None:
+        return stored, StorePosition.at(0, position.version)
+    return match[2], StorePosition.at(int(match[1]), position.version)
 
 
 def encode_row(row: FleetRow) -> bytes:
@@ -74,7 +112,7 @@
     return msgspec.json.encode(stored(**{name: getattr(row, name) for name in names}))
 
 
-def decode_row(key: str, value: bytes | None, version: int) -> VersionedRow:
+def decode_row(key: str, value: bytes | None, version: StorePosition) -> VersionedRow:
     """Decode a stored row; an unreadable value is treated as a deleted row.
 
     Parameters
@@ -83,8 +121,8 @@
         Key of the row.
     value : bytes or None
         Stored value, None if the row was deleted.
-    version : int
-        Version of the row.
+    version : StorePosition
+        Position of the row.
     """
     if value is None:
         return VersionedRow(key, version, None)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/table_relay.py
@@ -34,6 +34,7 @@
     from twisted.internet.task import LoopingCall
 
     from guavabarrow_core.fleet_state import VersionedRow
+    from guavabarrow_core.store_position import StorePosition
 
 REQUEST_INTERVAL_S = 0.7
 """Interval at which a VM requests the tables from its observer."""
@@ -137,7 +138,7 @@
         candidates = [
             members[vm]
             for vm in self._links.live_peers()
-            if vm in members
+            if state.is_current_member(vm)
             and not members[vm].is_out
             and members[vm].incarnation == self._links.incarnation_of(vm)
             and not self._is_awaited(vm)
@@ -171,6 +172,7 @@
             self._fleet.orders.request_version,
             self._directory.list_digest,
             wants_sponsor,
+            self._fleet.orders.configuration_version,
         )
         self._links.send(vm, request)
 
@@ -224,9 +226,18 @@
             is_ahead
             or (is_source and has_newer)
             or self._observer_lacks_orders(heartbeat.orders_version)
+            or self._remembers_newer_configuration(heartbeat)
         )
 
-    def _observer_lacks_orders(self, orders_version: int) -> bool:
+    def _remembers_newer_configuration(self, heartbeat: PeerHeartbeat) -> bool:
+        """Return whether a VM has a configuration that the store has lost."""
+        orders = self._fleet.orders
+        return (
+            heartbeat.configuration_version > orders.configuration_version
+            and heartbeat.orders_version <= orders.received_version
+        )
+
+    def _observer_lacks_orders(self, orders_version: StorePosition) -> bool:
         """Return whether the observer lacks orders; it may not reach the store."""
         if orders_version <= self._fleet.orders.received_version:
             return False
@@ -258,7 +269,10 @@
         ]
         copy = fleet.orders.rows
         orders = [
-            self._pack(row) for row in fleet.orders.newer_than(request.orders_version)
+            self._pack(row)
+            for row in fleet.orders.rows_for(
+                request.orders_version, request.configuration_version
+            )
         ]
         is_current = request.directory_change == self._directory.list_digest
         answer = TableAnswer(
@@ -277,6 +291,7 @@
             directory_change=self._directory.list_digest,
             targets=None if is_current else self._directory.entries(),
             is_sponsor=request.wants_sponsor and self._grant_sponsorship(),
+            era=fleet.state.era,
         )
         self._links.send(vm, answer)
 
@@ -302,6 +317,10 @@
         del self._pending_by_vm[vm]
         self._answered_at_by_vm[vm] = now_s()
         sent_at = pending.sent_at
+        self._fleet.follow_era(answer.era, vm)
+        if answer.era != self._fleet.state.era:
+            log_decision("former_table_ignored", peer=vm, era=answer.era)
+            return
         try:
             orders = [_to_table_row(row.decompress()) for row in answer.orders]
         except zlib.error as error:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -12,7 +12,6 @@
 
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.metrics import LATENCY_BUCKETS_S
-from guavabarrow_daemon.operations.decision_log import log_decision
 
 
 class SessionMetrics(Service):
@@ -71,7 +70,12 @@
         )
         self.store_era = Gauge(
             "guavabarrow_store_era",
-            "Newest era of the store in its answers",
+            "Newest era of the store that this VM knows",
+            registry=self.registry,
+        )
+        self.store_returns = Counter(
+            "guavabarrow_store_returns",
+            "Times that the store returned from an older copy, as seen by this VM",
             registry=self.registry,
         )
         self.promotions = self._counter(
@@ -133,11 +137,6 @@
             registry=self.registry,
         )
 
-    def record_era(self, era: int) -> None:
-        """Record that an answer of the store shows a newer era."""
-        self.store_era.set(era)
-        log_decision("store_era_seen", era=era)
-
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/store/watched_table.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 from guavabarrow_core.exceptions import GuavabarrowError
+from guavabarrow_core.store_position import StorePosition
+from guavabarrow_daemon.store.exceptions import HistoryDropped
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,16 +26,28 @@
     ----------
     rows : list of TableRow
         Rows in the order in which the store returned them.
-    version : int
-        Newest version of the store.
+    version : StorePosition
+        Newest position of the store.
     store_s : float
         Time on the store's monotonic clock, in s.
     """
 
     rows: list[TableRow]
-    version: int
+    version: StorePosition
     store_s: float
 
+    def require_era_of(self, after: StorePosition) -> None:
+        """Check that these can be the changes since a position.
+
+        Raises
+        ------
+        HistoryDropped
+            If the store has returned from a copy since. It may then have given out
+            versions up to that one again, and answers as if nothing was missing.
+        """
+        if StorePosition(self.version).era != StorePosition(after).era:
+            raise HistoryDropped(f"The store has returned from a copy since {after}.")
+
 
 @dataclass(frozen=True, slots=True)
 class TableWriteResult:
@@ -43,14 +57,14 @@
     ----------
     is_applied : bool
         Whether the row had the expected version and was written.
-    version : int
-        New version of the row, if applied.
+    version : StorePosition
+        New position of the row if applied, else the newest one of the store.
     store_s : float
         Time on the store's monotonic clock, in s.
     """
 
     is_applied: bool
-    version: int
+    version: StorePosition
     store_s: float
 
 
@@ -62,22 +76,46 @@
         """Read all rows as of one point in time."""
 
     @abstractmethod
-    async def watch(self, after: int, wait_s: float) -> TableReadResult:
-        """Wait up to ``wait_s`` seconds for rows that changed after a version.
+    async def watch(self, after: StorePosition, wait_s: float) -> TableReadResult:
+        """Wait up to ``wait_s`` seconds for rows that changed after a position.
+
+        A result of another era doesn't have the changes since that position.
 
         Raises
         ------
         HistoryDropped
-            If the store no longer keeps the changes since that version.
+            If the store no longer keeps the changes since that position.
         StoreUnavailable
             If no usable response arrived.
         """
 
     @abstractmethod
     async def write(
-        self, key: str, value: bytes | None, expected: int
+        self, key: str, value: bytes | None, expected: StorePosition
     ) -> TableWriteResult:
-        """Write or delete a row if its version is ``expected``; 0 means no row."""
+        """Write or delete a row if its version is that of ``expected``, 0 for no row.
+
+        A result of another era than that of the condition proves nothing.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class TargetListing:
+    """The list of registered targets.
+
+    Parameters
+    ----------
+    entries : list of TargetEntry
+        Valid entries.
+    problems : list of str
+        Reasons why others were skipped.
+    era : int
+        Era of the store that has it.
+    """
+
+    entries: list[TargetEntry]
+    problems: list[str]
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +133,7 @@
         """Read all rows as of one point in time."""
 
     @abstractmethod
-    async def watch(self, after: int, wait_s: float) -> TableReadResult:
+    async def watch(self, after: StorePosition, wait_s: float) -> TableReadResult:
         """Wait for changes; see :meth:`WatchedTable.watch`."""
 
     @abstractmethod
@@ -113,8 +151,8 @@
     """Reads the list of registered targets."""
 
     @abstractmethod
-    async def read(self) -> tuple[list[TargetEntry], list[str]]:
-        """Return the valid entries, and the reasons why others were skipped."""
+    async def read(self) -> TargetListing:
+        """Read all entries."""
 
 
 class PromotionRefused(GuavabarrowError):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/reporting_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/usage/reporting_service.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from guavabarrow_core.fleet_state import DUTY_KEY
+from guavabarrow_core.store_position import StorePosition
 from guavabarrow_core.usage_counts import UsageWindowOutOfRange
 from guavabarrow_core.usage_report import (
     ReportPhase,
@@ -154,12 +155,12 @@
         )
 
     def _on_acquired(self) -> None:
-        self.reporter.acquire(self._fleet.state.version_of(DUTY_KEY), now_s())
+        self.reporter.acquire(int(self._fleet.state.version_of(DUTY_KEY)), now_s())
         self._missing_by_window.clear()
 
     def _may_act(self) -> bool:
         is_holder = self._duty.may_order_promotions()
-        held_token = self._fleet.state.version_of(DUTY_KEY) if is_holder else 0
+        held_token = int(self._fleet.state.version_of(DUTY_KEY)) if is_holder else 0
         return self.reporter.may_act(held_token, now_s())
 
     def _check(self) -> Deferred[None] | None:
@@ -222,7 +223,7 @@
         value = None if is_delete else encode_report(report)
         try:
             written = await self._table.write(
-                report_key(step.window), value, report.version
+                report_key(step.window), value, StorePosition(report.version)
             )
         except StoreUnavailable as error:
             log_decision(
@@ -233,6 +234,13 @@
             )
             self.reporter.on_written(step, None)
             return False
+        era = StorePosition(written.version).era
+        if era != self._fleet.state.era:
+            # The condition may have met a version that was given out again.
+            log_decision("usage_era_ended", window=step.window, era=era)
+            self._fleet.follow_era(era, "store")
+            self.reporter.on_written(step, None)
+            return False
         self.reporter.on_written(step, written.version if written.is_applied else None)
         if not written.is_applied:
             log_decision(
--- a/packages/guavabarrow-daemon/tests/sim_fleet.py
+++ b/packages/guavabarrow-daemon/tests/sim_fleet.py
@@ -164,6 +164,9 @@
         Called with each VM before it starts, to register further services.
     """
 
+    first_era = 0
+    """Era of the store at the start; 0 for a store without eras."""
+
     def __init__(
         self,
         monkeypatch,
@@ -172,8 +175,8 @@
     ) -> None:
         self.register_services = register_services
         self.network = SimNetwork()
-        self.store = SimStore(self.network)
-        self.operator_store = SimStore(self.network)
+        self.store = SimStore(self.network, self.first_era)
+        self.operator_store = SimStore(self.network, self.first_era)
         publish_configuration(self.operator_store)
         self.network.reactor(STORE_HOST)
         targets = [
@@ -237,6 +240,12 @@
             vm.primary() == expected for vm in self.vm_by_name.values()
         )
 
+    def return_store(self, age_s: float, clock_step_s: float = 0.0) -> None:
+        """Let the store return from a copy of some time ago, in the next era."""
+        for store in (self.store, self.operator_store):
+            store.return_older(age_s)
+            store.clock_offset_s += clock_step_s
+
     def has_configuration(self, version: int) -> bool:
         """Return whether all VMs have this configuration version or a newer one."""
         versions = (vm.configuration_version for vm in self.vm_by_name.values())
--- a/packages/guavabarrow-daemon/tests/sim_orders.py
+++ b/packages/guavabarrow-daemon/tests/sim_orders.py
@@ -13,8 +13,11 @@
     evacuate,
     lift_evacuation,
     publish_configuration,
+    write_again,
 )
 
+from guavabarrow_core.operator_rows import NEVER
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -28,6 +31,9 @@
 """Time for which a source must have been reachable before a VM has to know what it
 knows; a call to the store times out in the same time."""
 
+RETURN_PROBABILITY = 0.3
+"""Probability that the store returns older before a fault."""
+
 OTHER_DOMAIN = "south"
 """Failure domain without VMs and targets; its evacuation moves no primary."""
 
@@ -89,6 +95,9 @@
         self._down_at: dict[str, float] = {}
         self._disturbed_at: dict[str, float] = {}
         self._cut_at: dict[tuple[str, str], float] = {}
+        self._written: dict[str, bytes | None] = {}
+        self._lost_keys: set[str] = set()
+        self._rewritten_at = NEVER
         super().__init__(monkeypatch, per_domain)
         self.names = tuple(self.vm_by_name)
         self.heal()
@@ -102,6 +111,7 @@
     def publish(self, size: int = 100) -> int:
         """Publish a configuration and return its version."""
         version = publish_configuration(self.operator_store, size)
+        self._remember()
         self.published.append((self.network.now, version))
         self.note(f"configuration {version}")
         return version
@@ -109,15 +119,50 @@
     def evacuate(self) -> None:
         """Evacuate ``OTHER_DOMAIN``."""
         evacuate(self.operator_store, OTHER_DOMAIN)
+        self._remember()
         self.evacuation_changes.append((self.network.now, True))
         self.note("evacuate")
 
     def lift_evacuation(self) -> None:
         """Lift the evacuation of ``OTHER_DOMAIN``."""
         lift_evacuation(self.operator_store, OTHER_DOMAIN)
+        self._remember()
         self.evacuation_changes.append((self.network.now, False))
         self.note("lift")
 
+    def return_store(
+        self, age_s: float, clock_step_s: float = 0.0, written_after_s: float = 0.0
+    ) -> None:
+        """Let the store return older; the operators' rows are written again.
+
+        Parameters
+        ----------
+        age_s, clock_step_s : float
+            Age of the copy, and what the store's clock is set forward, in s.
+        written_after_s : float
+            Time after which the operators have written again, in s.
+        """
+        before = dict(self.operator_store.row_by_key)
+        super().return_store(age_s, clock_step_s)
+        after = self.operator_store.row_by_key
+        self._lost_keys |= {k for k, row in before.items() if after.get(k) is not row}
+        self._rewritten_at = self.network.now + written_after_s
+        self.network.reactor_by_host[STORE_HOST].callLater(
+            written_after_s, self._write_again
+        )
+        self.note(f"return {age_s:.1f} s older, written after {written_after_s:.1f} s")
+
+    def _write_again(self) -> None:
+        write_again(
+            self.operator_store, {key: self._written[key] for key in self._lost_keys}
+        )
+        self._lost_keys.clear()
+
+    def _remember(self) -> None:
+        """Record the row that an operator has just written."""
+        row = max(self.operator_store.row_by_key.values(), key=lambda r: r.version)
+        self._written[row.key] = row.value
+
     @property
     def is_evacuated(self) -> bool:
         """Whether ``OTHER_DOMAIN`` is evacuated in the store."""
@@ -263,7 +308,12 @@
         return self.network.now - since > CONTACT_S
 
     def has_source(self, name: str) -> bool:
-        """Return whether a VM, or a VM that it reaches, has reached the store."""
+        """Return whether a VM, or a VM that it reaches, has reached the store.
+
+        After a return of the store that is so once the operators have written again.
+        """
+        if self.network.now - self._rewritten_at <= REACH_S:
+            return False
         return self._reaches_store(name) or any(
             self._reaches_store(other)
             and self._has_passed(self._down_at, other)
@@ -505,13 +555,32 @@
     fleet.network.connect_delay_s = LinkDelays(seed, 0.3)
 
 
-def hunt(fleet: OrdersFleet, seed: int, faults: int = 12) -> None:
+def return_at_random(fleet: OrdersFleet, rng) -> None:
+    """Let the store be away for a moment and return older, sometimes."""
+    if rng.random() > RETURN_PROBABILITY:
+        return
+    fleet.set_store_access(*fleet.names, has_access=False)
+    fleet.run(float(rng.choice([0.02, 0.5, 2.0])))
+    fleet.return_store(
+        float(rng.choice([0.0, 1.0, 4.0, 9.0])),
+        clock_step_s=float(rng.choice([0.0, 0.0, -9.0, 30.0])),
+        written_after_s=float(rng.choice([0.0, 0.0, 0.3, 1.5])),
+    )
+    fleet.set_store_access(*fleet.names, has_access=True)
+
+
+def hunt(
+    fleet: OrdersFleet, seed: int, faults: int = 12, *, returns: bool = False
+) -> None:
     """Play random faults, and check that all VMs know everything at the end."""
     rng = np.random.default_rng(seed)
+    return_rng = np.random.default_rng([seed, 1])
     fleet.network.read_delay_s = LinkDelays(seed, 0.5).constant
     spread_connection_attempts(fleet, seed)
     fleet.settle()
     for _ in range(faults):
+        if returns:
+            return_at_random(fleet, return_rng)
         toggle_random_fault(fleet, rng)
         fleet.run(float(rng.choice([0.1, 0.5, 2.0])))
     end_faults(fleet)
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -16,6 +16,7 @@
     SessionConfiguration,
 )
 from guavabarrow_core.session_messages import TargetStatus
+from guavabarrow_core.store_position import StorePosition
 from guavabarrow_core.target_directory import TargetEntry
 from guavabarrow_daemon.decoding import UndecodableValue
 from guavabarrow_daemon.store.exceptions import HistoryDropped, StoreUnavailable
@@ -28,6 +29,7 @@
     PromotionWithdrawn,
     TableReadResult,
     TableWriteResult,
+    TargetListing,
     WatchedTable,
 )
 from guavabarrow_daemon.targets.interface import TargetUnreachable
@@ -79,12 +81,23 @@
         Routes of the configurations in this table.
     sync_replicas : int
         Synchronous replicas of the service in the configurations in this table.
+    era : int
+        Number of returns from an older copy, and the era at the start.
+    clock_offset_s : float
+        What the store's clock is ahead of the simulation's.
+    calls : int
+        Calls so far.
     """
 
-    def __init__(self, network: SimNetwork) -> None:
+    def __init__(self, network: SimNetwork, era: int = 0) -> None:
         self.network = network
         self.row_by_key: dict[str, TableRow] = {}
         self.version = 1
+        self.era = era
+        self.clock_offset_s = 0.0
+        self.calls = 0
+        self.newest_configuration = 0
+        self._history: list[tuple[float, TableRow]] = []
         self.unreachable_from: set[str] = set()
         self.write_delay_s = 0.0
         self.drops_write_replies = False
@@ -110,11 +123,31 @@
         """Write a row if its current version is the expected one."""
         row = self.row_by_key.get(key)
         current = row.version if row is not None and row.value is not None else 0
-        if current != expected:
-            return TableWriteResult(False, 0, self.network.now)
-        self.version += 1
-        self.row_by_key[key] = TableRow(key, value, self.version)
-        return TableWriteResult(True, self.version, self.network.now)
+        is_applied = current == StorePosition(expected).version
+        if is_applied:
+            self.version += 1
+            row = self.row_by_key[key] = TableRow(key, value, self.version)
+            self._history.append((self.network.now, row))
+        return TableWriteResult(is_applied, self.position, self.store_s)
+
+    @property
+    def position(self) -> StorePosition:
+        """Newest position; versions alone in a store without eras."""
+        return StorePosition.at(self.era, self.version)
+
+    @property
+    def store_s(self) -> float:
+        """Time on the store's clock."""
+        return self.network.now + self.clock_offset_s
+
+    def return_older(self, age_s: float) -> None:
+        """Return from a copy of some time ago; versions are given out again."""
+        until = self.network.now - age_s
+        self._history = [(at, row) for at, row in self._history if at <= until]
+        self.row_by_key = {row.key: row for _, row in self._history}
+        self.version = max((row.version for _, row in self._history), default=1)
+        self.compacted_version = min(self.compacted_version, self.version)
+        self.era += 1
 
     def drop_history(self) -> None:
         """Forget all changes so far, and which rows were deleted."""
@@ -126,11 +159,11 @@
     def read_after(self, after: int, *, with_deleted: bool) -> TableReadResult:
         """Return the rows that changed after a version."""
         rows = [
-            row
+            TableRow(row.key, row.value, StorePosition.at(self.era, row.version))
             for row in self.row_by_key.values()
             if row.version > after and (with_deleted or row.value is not None)
         ]
-        return TableReadResult(rows, self.version, self.network.now)
+        return TableReadResult(rows, self.position, self.store_s)
 
 
 class SimTable(WatchedTable):
@@ -149,6 +182,7 @@
         """Wait for changes; the store answers also while the VM is suspended."""
         host = self._reactor.host
         store = self._store
+        after = StorePosition(after).version
         await self._send_request()
         clock = store.network.reactor_by_host[STORE_HOST]
         until = clock.seconds() + wait_s
@@ -158,7 +192,7 @@
         if host in store.silent_watches_from:
             await self._pause(until + CALL_TIMEOUT_S - clock.seconds())
             raise StoreUnavailable("no answer", is_not_applied=False)
-        if after < store.compacted_version:
+        if not store.compacted_version <= after <= store.version:
             raise HistoryDropped
         reading = store.read_after(after, with_deleted=True)
         delay_s = store.watch_delay_s_by_host.get(host, 0.0)
@@ -182,6 +216,7 @@
         return await self._receive_answer(written)
 
     async def _send_request(self) -> None:
+        self._store.calls += 1
         if not self._store.is_reachable_from(self._reactor.host):
             await self._pause(CALL_TIMEOUT_S)
             raise StoreUnavailable("no answer", is_not_applied=True)
@@ -223,14 +258,14 @@
         return await self._table.watch(after, wait_s)
 
     def decode(self, row: TableRow) -> SessionConfiguration | Evacuation | None:
-        """Decode a row; the version of a configuration is the version of its row."""
+        """Decode a row; a configuration begins with its version."""
         if row.key.startswith(EVACUATION_PREFIX):
             return Evacuation(row.key.removeprefix(EVACUATION_PREFIX))
         if row.value is None or row.value[:1] == UNREADABLE:
             raise UndecodableValue("not a configuration")
         limits = {SERVICE: ServiceLimits(sync_replicas=self._store.sync_replicas)}
         return SessionConfiguration(
-            row.version,
+            int(row.value.split(b"\n", 1)[0]),
             limits_by_service=limits,
             team_by_key=self._store.team_by_key,
             route_by_database=self._store.route_by_database,
@@ -239,8 +274,11 @@
 
 def publish_configuration(store: SimStore, size: int = 100) -> int:
     """Write the next configuration and return its version."""
-    lines = (f"route-{number} to service-{number % 7}" for number in range(size // 20))
-    return _replace_row(store, CONFIGURATION_KEY, "\n".join(lines).encode())
+    version = max(store.newest_configuration, store.version) + 1
+    store.newest_configuration = version
+    routes = (f"route-{number} to service-{number % 7}" for number in range(size // 20))
+    _replace_row(store, CONFIGURATION_KEY, "\n".join([str(version), *routes]).encode())
+    return version
 
 
 def publish_unreadable_configuration(store: SimStore, size: int = 100) -> int:
@@ -262,7 +300,13 @@
 def _replace_row(store: SimStore, key: str, value: bytes | None) -> int:
     row = store.row_by_key.get(key)
     expected = row.version if row is not None and row.value is not None else 0
-    return store.apply(key, value, expected).version
+    return store.apply(key, value, expected).version.version
+
+
+def write_again(store: SimStore, value_by_key: dict[str, bytes | None]) -> None:
+    """Write rows again that the store has lost."""
+    for key, value in value_by_key.items():
+        _replace_row(store, key, value)
 
 
 @dataclass
@@ -370,9 +414,9 @@
         self._table = SimTable(group.store, reactor)
         self._reactor = reactor
 
-    async def read(self) -> tuple[list[TargetEntry], list[str]]:
+    async def read(self) -> TargetListing:
         """Return the entries."""
-        await self._table.read()
+        reading = await self._table.read()
         now = self._reactor.network.now
         hosts = list(dict.fromkeys(target.host for target in self._group.targets))
         entries = [
@@ -388,7 +432,7 @@
             for target in self._group.targets
             if now - self._group.last_renewal(target) < ENTRY_TTL_S
         ]
-        return entries, []
+        return TargetListing(entries, [], reading.version.era)
 
 
 class SimAuthority(PromotionAuthority):
--- a/packages/guavabarrow-daemon/tests/test_orders_confirmation.py
+++ b/packages/guavabarrow-daemon/tests/test_orders_confirmation.py
@@ -61,7 +61,9 @@
         """Answer a request of another VM."""
         copy = self.orders.rows
         other.orders.apply_relayed(
-            self.orders.newer_than(other.orders.request_version),
+            self.orders.rows_for(
+                other.orders.request_version, other.orders.configuration_version
+            ),
             source="peer",
             version=copy.version,
             store_s=copy.store_s,
--- a/packages/guavabarrow-daemon/tests/test_relayed_entries.py
+++ b/packages/guavabarrow-daemon/tests/test_relayed_entries.py
@@ -62,8 +62,8 @@
     read = source.read
 
     async def read_with_extra():
-        entries, problems = await read()
-        return [*entries, *extra], problems
+        listing = await read()
+        return replace(listing, entries=[*listing.entries, *extra])
 
     monkeypatch.setattr(source, "read", read_with_extra)
     fleet.run(RELAY_S)
--- a/tests/platform_adapter/test_operator_tables.py
+++ b/tests/platform_adapter/test_operator_tables.py
@@ -122,7 +122,8 @@
 def test_an_unreadable_entry_hides_no_other(value):
     """Deep nesting raised RecursionError, which ended the poll of the list for good."""
     table = FakeTable(value, entry_with())
-    entries, problems = result_of(StoredDirectory(table).read())
+    listing = result_of(StoredDirectory(table).read())
+    entries, problems = listing.entries, listing.problems
     assert [entry.target_id for entry in entries] == ["row-1"]
     assert len(problems) == 1
     assert len(problems[0]) < MAX_PROBLEM_LENGTH
@@ -145,9 +146,8 @@
 
 def test_entries_with_one_address_or_a_repeated_field_are_decoded():
     doubled = entry_with()[:-1] + b',"Zone":"south"}'
-    entries, problems = result_of(
-        StoredDirectory(FakeTable(entry_with(), doubled)).read()
-    )
+    listing = result_of(StoredDirectory(FakeTable(entry_with(), doubled)).read())
+    entries, problems = listing.entries, listing.problems
     assert [entry.domain for entry in entries] == ["north", "south"]
     assert not problems
 
--- a/tests/platform_adapter/test_store_client.py
+++ b/tests/platform_adapter/test_store_client.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import json
-from types import SimpleNamespace
 
 from twisted.internet.defer import Deferred
 
-from guavabarrow_platform.store_client import StoreTable
+from guavabarrow_platform.store_client import StoreResponse, StoreTable
 
 
 def row(key: str, version: int) -> dict:
@@ -25,7 +24,7 @@
 
     async def call(self, method, path, body=b"", *, wait_s=0.0):
         page = self.pages.pop(0)
-        return SimpleNamespace(status=200, headers={}, body=json.dumps(page).encode())
+        return StoreResponse(200, json.dumps(page).encode(), 0)
 
 
 def test_a_watch_after_a_read_of_several_pages_misses_no_change():
