Let the stand-ins' store return older, and play it in the soak

The store of the platform's stand-in counts an era, returns from an older copy, gives out versions again, and writes again what operators and databases wrote. The soak has a lane for it, beside its others, drawn after them, so that the random sources of the other lanes stay as they were.

--- a/tests/platform_adapter/standin_platform.py
+++ b/tests/platform_adapter/standin_platform.py
@@ -20,6 +20,10 @@
 """Connections that wait to be accepted; more of them take a second or longer."""
 
 
+OUTSIDE = ("op", "servers")
+"""Tables that operators and databases write."""
+
+
 class _TcpServer(socketserver.ThreadingTCPServer):
     allow_reuse_address = True
     daemon_threads = True
@@ -48,9 +52,17 @@
 
 
 class StandInStore:
-    """Store of versioned rows with conditional writes and a feed of changes."""
+    """Store of versioned rows with conditional writes and a feed of changes.
+
+    Attributes
+    ----------
+    era : int
+        Rises each time that the store returns from an older copy.
+    """
 
     def __init__(self) -> None:
+        self.era = 1
+        self._history: list[tuple[float, tuple[str, str], bytes | None, int]] = []
         self.is_down = False
         self.is_silent = False
         self.write_responses_to_drop = 0
@@ -78,21 +90,48 @@
         """
         with self._changed:
             self._version += 1
-            self._rows[(table, key)] = (data, self._version)
+            self._store_row((table, key), data)
             self._changed.notify_all()
 
     def remove(self, table: str, key: str) -> None:
         """Remove a row."""
         with self._changed:
             self._version += 1
-            self._rows[(table, key)] = (None, self._version)
+            self._store_row((table, key), None)
             self._changed.notify_all()
 
+    def return_older(self, age_s: float) -> None:
+        """Return from a copy of some time ago, and give out versions again.
+
+        What operators and databases wrote is written again at once, what VMs wrote is
+        lost. Watches are cut.
+        """
+        with self._changed:
+            lost = {k: data for k, (data, _) in self._rows.items() if k[0] in OUTSIDE}
+            until = time.monotonic() - age_s
+            self._history = [entry for entry in self._history if entry[0] <= until]
+            self._rows = {key: (data, ver) for _, key, data, ver in self._history}
+            self._version = max((entry[3] for entry in self._history), default=0)
+            self.era += 1
+            for key, data in lost.items():
+                if self._rows.get(key, (None, 0))[0] != data:
+                    self._version += 1
+                    self._store_row(key, data)
+            self._changed.notify_all()
+
+    def _store_row(self, key: tuple[str, str], data: bytes | None) -> None:
+        self._rows[key] = (data, self._version)
+        self._history.append((time.monotonic(), key, data, self._version))
+
     def close(self) -> None:
         """Stop serving."""
         self._server.close()
 
     def _handle(self, request: HttpRequest) -> tuple[int, dict]:
+        status, value = self._answer(request)
+        return status, {"headers": self._headers(), **value}
+
+    def _answer(self, request: HttpRequest) -> tuple[int, dict]:
         path = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(path.query).items()}
         self.calls.append(path.path)
@@ -108,8 +147,9 @@
             case "/guavabarrow/rows-tx":
                 return self._transact(json.loads(request.body))
             case "/guavabarrow/rows-get":
-                rows = self._select(query["Table"], 0, with_tombstones=False)
-                return 200, {"rows": rows, "HasMore": False, **self._clock()}
+                with self._changed:
+                    rows = self._select(query["Table"], 0, with_tombstones=False)
+                    return 200, {"rows": rows, "HasMore": False, **self._clock()}
             case "/guavabarrow/rows-feed":
                 return self._feed(query)
         return 404, {}
@@ -147,20 +187,26 @@
             self._version += 1
             for put in body["Puts"]:
                 data = base64.b64decode(put["Value"])
-                self._rows[(put["Table"], put["Key"])] = (data, self._version)
+                self._store_row((put["Table"], put["Key"]), data)
             for removal in body["Remove"]:
-                self._rows[(removal["Table"], removal["Key"])] = (None, self._version)
+                self._store_row((removal["Table"], removal["Key"]), None)
             self._changed.notify_all()
+            clock = self._clock()
         if self.write_responses_to_drop > 0:
             self.write_responses_to_drop -= 1
             raise ConnectionAbortedError("the response is dropped")
-        return 200, self._clock()
+        return 200, clock
 
     def _feed(self, query: dict[str, str]) -> tuple[int, dict]:
         after = int(query["after"])
         deadline = time.monotonic() + int(query["WaitMs"]) / 1000
         with self._changed:
+            era = self.era
+            if after > self._version:
+                return 410, {}
             while True:
+                if self.era != era:
+                    raise ConnectionAbortedError("the store was away")
                 rows = self._select(query["Table"], after, with_tombstones=True)
                 remaining = deadline - time.monotonic()
                 if rows or remaining <= 0:
@@ -182,7 +228,11 @@
         return rows
 
     def _clock(self) -> dict:
-        return {"Ver": self._version, "NowMs": int(time.monotonic() * 1000)}
+        now_ms = int(time.monotonic() * 1000)
+        return {"Ver": self._version, "NowMs": now_ms, "headers": self._headers()}
+
+    def _headers(self) -> dict[str, str]:
+        return {"Store-Era": str(self.era)}
 
 
 @dataclass(frozen=True)
@@ -514,6 +564,7 @@
 class HttpServer:
     """HTTP server that calls ``respond`` for each request, in a thread.
 
+    An entry ``headers`` of the value that it returns is sent as headers.
     No response is sent if ``respond`` raises ConnectionAbortedError.
     """
 
@@ -537,8 +588,11 @@
                 except ConnectionAbortedError:
                     self.close_connection = True
                     return
+                headers = value.pop("headers", {})
                 data = json.dumps(value).encode()
                 self.send_response(status)
+                for name, text in headers.items():
+                    self.send_header(name, text)
                 self.send_header("Content-Length", str(len(data)))
                 self.end_headers()
                 self.wfile.write(data)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,7 +40,8 @@
     only : str, optional
         The only kind of fault, by default all: ``kill``, ``kill_several``,
         ``terminate``, ``freeze``, ``lose_all``, ``return_beside_stale_peer``,
-        ``return_to_slow_store``, ``harm_store``, ``harm_links`` or ``harm_databases``.
+        ``return_to_slow_store``, ``return_store``, ``harm_store``, ``harm_links`` or
+        ``harm_databases``.
     """
     # All processes of the run are stopped as well.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -35,6 +35,9 @@
 SLOW_STORE_S = 0.2
 """Delay of calls to a slow store, and of its answers, in s."""
 
+MAX_COPY_AGE_S = 10.0
+"""Maximum age of the copy that the store returns from, in s."""
+
 LANE_PROBABILITY = 0.8
 """Probability that a run has faults of one kind."""
 
@@ -70,6 +73,7 @@
             (self._harm_links, 2.0),
             (self._harm_databases, 5.0),
             (self._harm_processes, 3.0),
+            (self._return_store, 6.0),
         ]
         if only is not None:
             lanes = [(self._change, 0.6), (getattr(self, f"_{only}"), 1.0)]
@@ -281,6 +285,21 @@
                 finally:
                     setattr(store, name, type(value)(0))
 
+    def _return_store(self, random: Generator) -> None:
+        """Let the store be away and return from an older copy, at times twice."""
+        store = self._deployment.store
+        for _ in range(2 if random.random() < 0.3 else 1):
+            with self._fault("store returns", "store"):
+                store.is_silent = True
+                try:
+                    time.sleep(random.uniform(0.02, 2.5))
+                    store.return_older(random.uniform(0.0, MAX_COPY_AGE_S))
+                finally:
+                    store.is_silent = False
+            if random.random() < 0.7:
+                self._deployment.operator.change()
+            time.sleep(random.uniform(0.0, 2.0))
+
     def _harm_links(self, random: Generator) -> None:
         vm = pick(random, self._deployment.vms).name
         others = [v.name for v in self._deployment.vms if v.name != vm]
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -66,6 +66,11 @@
             self._history_floor = self._version
             self._changed.notify_all()
 
+    def return_older(self, age_s: float) -> None:
+        """Return from an older copy, which has its whole history."""
+        self._history_floor = 0
+        super().return_older(age_s)
+
     def close(self) -> None:
         """Stop serving."""
         self.is_silent = False
@@ -87,7 +92,7 @@
         if path.path == "/guavabarrow/rows-feed":
             query = {name: values[0] for name, values in parse_qs(path.query).items()}
             if int(query["after"]) < self._history_floor:
-                return 410, {}
+                return 410, {"headers": self._headers()}
         if path.path != "/guavabarrow/rows-tx":
             return self._handle(request)
         self._writes += 1
