Write revisions again that the table service has lost

Cause: the product's own configuration chain compares the store's version with that of the VMs, which only rises. If its table service returned from an older copy, the next change got a version that the VMs had already, and all of them ignored it; a change by a VM that knew more never ended.

Change: a VM that reads a head below its own version appends the revisions that it retains, each under the usual conditions, so that several VMs may try.

A revision that no VM retains (256 are) stays lost, and says so in the log.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/configuration_service.py
@@ -294,9 +294,12 @@
 
     async def _refresh(self) -> None:
         answer = await self._table.read(Read(keys=[HEAD_KEY]))
-        if not answer.rows:
+        head = Head()
+        if answer.rows:
+            head = decode_value(HEAD_DECODER, answer.rows[0].value.encode())
+        if head.version < self.chain.version:
+            await self._write_lost_revisions(head.version)
             return
-        head = decode_value(HEAD_DECODER, answer.rows[0].value.encode())
         previous_version = self.chain.version
         if head.snapshot > self.chain.version:
             await self._install_snapshot(head.snapshot)
@@ -305,6 +308,24 @@
                 break
         self._notify(previous_version)
 
+    async def _write_lost_revisions(self, version: int) -> None:
+        """Append the revisions that the store lost when it returned from a copy.
+
+        They were acknowledged to operators, and VMs that have them ignore others with
+        the same versions.
+        """
+        lost = self.chain.revisions_after(version)
+        log_state(
+            self._settings.vm,
+            "revisions_lost",
+            stored_version=version,
+            known_version=self.chain.version,
+            is_retained=lost is not None,
+        )
+        for revision in lost or []:
+            if not await self._write_revision(revision):
+                return
+
     async def _install_snapshot(self, version: int) -> None:
         document = await self._objects.get(f"{SNAPSHOT_PREFIX}{version}")
         if document is not None:
