Show the store's era and positions in a VM's local view

The beliefs command tells an operator after a drill which era a VM follows and up to which position it knows both tables. A test on real processes returns the stand-in's store older: a change that is confirmed afterwards is in force at both VMs, each logs the return once and counts it.

--- a/packages/guavabarrow-cli/src/guavabarrow_cli/commands/beliefs_command.py
+++ b/packages/guavabarrow-cli/src/guavabarrow_cli/commands/beliefs_command.py
@@ -44,6 +44,10 @@
         f"pool: {view.pool_host or 'none'}; "
         f"evacuated: {' '.join(view.evacuated) or 'none'}"
     )
+    print_line(
+        f"store: era {view.store_era}, shared table up to {view.table_position}, "
+        f"operators' table up to {view.orders_position}"
+    )
     if view.sponsor:
         print_line(f"uses primaries by the sponsorship of {view.sponsor}")
     print_line("")
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/beliefs.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/beliefs.py
@@ -134,6 +134,10 @@
         Concurrency limits of these targets.
     usage : UsageStatus or None
         State of the usage reports, None if the settings don't ask for any.
+    store_era : int
+        Era of the store that this VM knows.
+    table_position, orders_position : str
+        Era and version up to which it knows the shared and the operators' table.
     """
 
     vm: str
@@ -155,6 +159,9 @@
     pools: list[PoolView] = []
     limits: list[TargetLimitView] = []
     usage: UsageStatus | None = None
+    store_era: int = 0
+    table_position: str = ""
+    orders_position: str = ""
 
 
 def read_local_view(kernel: Kernel) -> LocalView:
@@ -219,6 +226,9 @@
             for target_id, pool in sorted(directory.pool_by_id.items())
         ],
         usage=_read_usage(kernel),
+        store_era=state.era,
+        table_position=str(state.version),
+        orders_position=str(fleet.orders.rows.version),
     )
 
 
--- a/tests/platform_adapter/test_store_era.py
+++ b/tests/platform_adapter/test_store_era.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import json
+import time
 from types import SimpleNamespace
 
 import pytest
+from local_deployment import wait_for
 from twisted.internet.defer import Deferred
 
+from guavabarrow_cli.commands.beliefs_command import beliefs, fetch_local_view
 from guavabarrow_core.store_position import (
     MAX_ERA,
     MAX_VERSION,
@@ -146,3 +149,34 @@
 def test_what_is_no_position_is_refused(era, version):
     with pytest.raises(ValueError, match="not a position"):
         StorePosition.at(era, version)
+
+
+@pytest.mark.processes
+def test_processes_follow_a_store_that_returned_older(deployment, capsys):
+    """A change that was confirmed afterwards never came into force."""
+    vms = [deployment.start_vm(f"vm-{number}") for number in (1, 2)]
+    deployment.configure(timeout_ms=2500)
+    wait_for(lambda: all(vm.events("orders_confirmed") for vm in vms), "confirmation")
+    deployment.store.is_silent = True
+    time.sleep(0.5)
+    deployment.store.return_older(30.0)
+    deployment.store.is_silent = False
+    deployment.configure(keys=("another-key",))
+    version = deployment.version
+    for vm in vms:
+        wait_for(lambda vm=vm: version in versions_of(vm), f"{vm.name} has the change")
+        [line] = [e for e in vm.events("store_era_entered") if e["is_return"]]
+        assert (line["former"], line["era"]) == (1, 2)
+        assert "guavabarrow_store_returns_total 1.0" in vm.metrics()
+        wait_for(lambda vm=vm: is_repaired(vm), f"{vm.name} has the new rows")
+        beliefs(f"127.0.0.1:{vm.metrics_port}")
+        assert "store: era 2, shared table up to 2." in capsys.readouterr().out
+
+
+def versions_of(vm) -> list[int]:
+    return [line["version"] for line in vm.events("configuration_in_force")]
+
+
+def is_repaired(vm) -> bool:
+    view = fetch_local_view(f"127.0.0.1:{vm.metrics_port}")
+    return view.is_registered and all(p.may_be_used for p in view.primaries)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -40,6 +40,8 @@
         # A VM that the store turned away took an old configuration from the first
         # peer that it linked to, and served by it for a second.
         (100, "return_beside_stale_peer"),
+        # Changes were never in force after the store had returned from an older copy.
+        (1, "return_store"),
     ],
 )
 def test_a_seed_that_failed_breaks_no_rule(tmp_path, seed, fault):
