--- a/tests/platform_adapter/test_foreign_bytes.py
+++ b/tests/platform_adapter/test_foreign_bytes.py
@@ -7,6 +7,7 @@
 
 import json
 import time
+from functools import partial
 from ipaddress import IPv4Address
 
 import msgspec
@@ -70,7 +71,7 @@
     "entry": (lambda data: decode_entry("t", data), UndecodableValue),
     "configuration": (decode_configuration, UndecodableValue),
     "row": (lambda data: decode_row("k", data, 1), ()),
-    "rows": (_decode_response, StoreUnavailable),
+    "rows": (partial(_decode_response, era=1), StoreUnavailable),
     "report": (lambda data: decode_report("window/7", data, 1), ()),
     "query": (lambda data: decode_value(ROUTE_QUERY_DECODER, data), UndecodableValue),
     "peer": (lambda data: decode_value(fleet_messages.DECODER, data), UndecodableValue),
