Decide in a module of its own which rows to follow after a return

The operators' orders received, relayed, confirmed and now also recovered in one class. StoreRecovery holds what is disputed after a return and decides without network and clock; behaviour is unchanged (test_store_return.py and the tests of orders pass).

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/operator_orders.py
@@ -19,7 +19,8 @@
 
 from guavabarrow_core.operator_rows import NEVER, OperatorRows
 from guavabarrow_core.session_configuration import SessionConfiguration
-from guavabarrow_core.store_position import MAX_VERSION, NO_POSITION, StorePosition
+from guavabarrow_core.store_position import NO_POSITION, StorePosition
+from guavabarrow_core.store_recovery import StoreRecovery
 from guavabarrow_daemon.decoding import UndecodableValue
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
@@ -73,8 +74,6 @@
         Rows of the operators' table, without those that can't be decoded.
     has_read : bool
         Whether this VM has read the whole table from the store.
-    era : int
-        Era of the store that this VM knows.
     on_newer_era : callable
         Called with the era of a reading that is newer.
     on_lost : callable
@@ -89,7 +88,6 @@
         self.evacuated: frozenset[str] = frozenset()
         self.rows = OperatorRows()
         self.has_read = False
-        self.era = 0
         self.on_newer_era: Callable[[int], None] = self.enter_era
         self.on_lost: Callable[[], None] = lambda: None
         self.on_changed: list[Callable[[], None]] = []
@@ -102,9 +100,7 @@
         self._order_by_key: dict[str, SessionConfiguration | Evacuation | None] = {}
         self._undecodable_by_key: dict[str, TableRow] = {}
         self._read_at = NEVER
-        self._era_read_from = MAX_VERSION
-        self._is_recovering = False
-        self._disputed_by_key: dict[str, TableRow] = {}
+        self._recovery = StoreRecovery()
         self._needs_full_read = True
         self._recovery_timer: Any = None
         self._turned_at = now_s()
@@ -126,6 +122,11 @@
         configuration = self.configuration
         return configuration.version if configuration is not None else 0
 
+    @property
+    def era(self) -> int:
+        """Era of the store that this VM knows."""
+        return self._recovery.era
+
     @property
     def age_s(self) -> float:
         """Time since the rows were last known to be complete, in s."""
@@ -178,7 +179,7 @@
         configuration_version : int
             Version of its configuration.
         """
-        unused = [*self._live_undecodable(), *self._disputed_by_key.values()]
+        unused = [*self._live_undecodable(), *self._recovery.disputed_by_key.values()]
         unused = [row for row in unused if row.version > version]
         former = [
             row
@@ -193,12 +194,13 @@
         order = self._order_by_key.get(row.key)
         if isinstance(order, SessionConfiguration):
             return order.version > configuration_version
-        return self._is_recovering
+        return self._recovery.is_active
 
     def live_keys(self) -> list[str]:
         """Return the keys of all rows of the table, sorted."""
         undecodable = {row.key for row in self._live_undecodable()}
-        return sorted(undecodable.union(self.rows.live_keys(), self._disputed_by_key))
+        unused = undecodable.union(self._recovery.disputed_by_key)
+        return sorted(unused.union(self.rows.live_keys()))
 
     def _live_undecodable(self) -> list[TableRow]:
         known = self.rows.row_by_key
@@ -248,23 +250,17 @@
         era : int
             Present era of the store, newer than the known one.
         """
-        self.era = era
         self._needs_full_read = True
-        self._era_read_from = MAX_VERSION
         self.rows.store_s = NEVER
-        self._stop_recovering()
-        if self.rows.row_by_key:
-            self._is_recovering = True
+        is_known = bool(self.rows.row_by_key)
+        self._recovery.begin(era, is_active=is_known)
+        if self._recovery_timer is not None and self._recovery_timer.active():
+            self._recovery_timer.cancel()
+        if is_known:
             self._recovery_timer = self._reactor.callLater(
                 RECOVERY_S, self._end_recovery
             )
 
-    def _stop_recovering(self) -> None:
-        self._is_recovering = False
-        self._disputed_by_key.clear()
-        if self._recovery_timer is not None and self._recovery_timer.active():
-            self._recovery_timer.cancel()
-
     def _end_recovery(self) -> None:
         """Follow the store again, also where it disagrees with this VM."""
         lost = [
@@ -273,14 +269,13 @@
             if row.value is not None
             and isinstance(self._order_by_key.get(row.key), Evacuation)
         ]
-        disputed = list(self._disputed_by_key.values())
+        disputed = self._recovery.end()
         log_decision(
             "orders_recovered",
             era=self.era,
             lost=lost,
             disputed=[row.key for row in disputed],
         )
-        self._stop_recovering()
         changed = self.rows.merge(self._decode_newer(disputed))
         if changed:
             self._receive(changed, "store")
@@ -360,22 +355,20 @@
         live_keys: Collection[str] | None,
     ) -> None:
         """Apply rows, and what is known of the copy that they come from."""
-        position = StorePosition(version)
-        if position.era == self.era and position != NO_POSITION:
-            self._era_read_from = min(self._era_read_from, position.version)
+        self._recovery.observe(version)
         rows = list(rows)
         changed = self.rows.merge(self._decode_newer(rows))
         changed += self._take_remembered(rows)
         if live_keys is not None and version >= max(self.rows.version, 1):
-            self._drop_unused(self._undecodable_by_key, version, live_keys)
-            self._drop_unused(self._disputed_by_key, version, live_keys)
+            self._drop_undecodable(version, live_keys)
+            self._recovery.drop_deleted(version, live_keys)
         if version > 0:
             changed += self.rows.complete(
                 version,
                 as_of=as_of,
                 store_s=store_s,
                 live_keys=live_keys,
-                keeps_former=self._is_recovering,
+                keeps_former=self._recovery.is_active,
             )
         if changed:
             self._receive(changed, source)
@@ -426,23 +419,10 @@
     def _is_taken_back(
         self, row: TableRow, order: SessionConfiguration | Evacuation | None
     ) -> bool:
-        """Return whether a row is an older one that the store has returned to.
-
-        Versions that the store gave out before its first reading in this era may be of
-        the copy that it returned from.
-        """
+        """Return whether a row is an older one that the store has returned to."""
         if isinstance(order, SessionConfiguration):
             return self._received is not None and order.version < self._received.version
-        known = self.rows.row_by_key.get(row.key)
-        is_restored = (
-            self._is_recovering
-            and known is not None
-            and known.era < row.era
-            and StorePosition(row.version).version <= self._era_read_from
-        )
-        if is_restored:
-            self._disputed_by_key[row.key] = row
-        return is_restored
+        return self._recovery.disputes(row, self.rows.row_by_key.get(row.key))
 
     def _reject(self, row: TableRow, error: UndecodableValue) -> None:
         known = self._undecodable_by_key.get(row.key)
@@ -452,21 +432,16 @@
                 key=row.key, row_version=str(row.version), error=str(error)
             ).error("configuration_unreadable")
 
-    @staticmethod
-    def _drop_unused(
-        row_by_key: dict[str, TableRow],
-        version: StorePosition,
-        live_keys: Collection[str],
+    def _drop_undecodable(
+        self, version: StorePosition, live_keys: Collection[str]
     ) -> None:
-        for key, row in list(row_by_key.items()):
+        for key, row in list(self._undecodable_by_key.items()):
             if key not in live_keys and row.version <= version:
-                del row_by_key[key]
+                del self._undecodable_by_key[key]
 
     def _receive(self, changed: list[TableRow], source: str) -> None:
         for row in changed:
-            disputed = self._disputed_by_key.get(row.key)
-            if disputed is not None and disputed.version <= row.version:
-                del self._disputed_by_key[row.key]
+            self._recovery.settle(row)
             # A deletion may have arrived together with a newer row.
             if self.rows.row_by_key[row.key].value is None:
                 self._order_by_key.pop(row.key, None)
