Record stalls and signals in the soak's reports

The report now has each pause of the event loop above 0.5 s, and the signals that were sent to a VM around a broken rule.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -123,6 +123,8 @@
     def send_signal(self, number: int) -> None:
         """Send a signal to the process."""
         if self.process is not None and self.process.poll() is None:
+            signals = self._deployment.record.signals
+            signals.append((time.monotonic(), self.name, number))
             self.process.send_signal(number)
 
     def kill(self) -> None:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -122,6 +122,10 @@
     kept_data: list[str] = field(default_factory=list)
     domain_by_target: dict[str, str] = field(default_factory=dict)
     settled_at: float = float("inf")
+    signals: list[tuple[float, str, int]] = field(default_factory=list)
+    stalls: list[tuple[float, float]] = field(default_factory=list)
+    """Time and duration, in s, of pauses of the soak's own event loop."""
+
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def begin_fault(self, kind: str, *ends: str) -> Fault:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -25,6 +25,9 @@
 """Time after the last fault from which everything must be served, in s."""
 
 WATCH_INTERVAL_S = 0.1
+MIN_STALL_S = 0.5
+"""Pause of the event loop from which it is reported: all traffic passes through it."""
+
 LOG_WINDOW_S = 1.5
 MAX_LOG_LINES = 40
 MAX_DESCRIBED_BY_RULE = 4
@@ -50,7 +53,7 @@
         injector = FaultInjector(deployment, randoms, only)
         load = Load(deployment, randoms)
         load.start()
-        watch = LoopingCall(deployment.note_own_ends)
+        watch = LoopingCall(Watch(deployment).check)
         reactor.callFromThread(watch.start, WATCH_INTERVAL_S)
         injector.run(duration_s)
         time.sleep(RECOVERY_S)
@@ -72,6 +75,9 @@
     ]
     rules = Counter(violation.rule for violation in violations)
     report.append(f"seed {seed}: violations {dict(rules)}")
+    for at, duration_s in record.stalls:
+        text = f"stalled for {duration_s:.2f} s until {at - started_at:.2f} s"
+        report.append(f"seed {seed}: the soak's event loop {text}")
     described: Counter[str] = Counter()
     for violation in violations:
         described[violation.rule] += 1
@@ -90,6 +96,23 @@
     return not any(violation.is_broken for violation in violations)
 
 
+class Watch:
+    """Notes processes that end by themselves, and stalls of the event loop."""
+
+    def __init__(self, deployment: SoakDeployment) -> None:
+        self._deployment = deployment
+        self._checked_at = time.monotonic()
+
+    def check(self) -> None:
+        """Note what happened since the last call."""
+        now = time.monotonic()
+        if now - self._checked_at > MIN_STALL_S:
+            stall = (now, now - self._checked_at)
+            self._deployment.record.stalls.append(stall)
+        self._checked_at = now
+        self._deployment.note_own_ends()
+
+
 def check_recovery(deployment: SoakDeployment) -> list[Violation]:
     """Ask each VM for each database, a removed one, and with a withdrawn key."""
     version = deployment.operator.version
@@ -155,6 +178,11 @@
                 f"   fault {fault.kind} {fault.ends}"
                 f" {fault.start - at:+.3f} to {fault.end - at:+.3f}"
             )
+    lines += [
+        f"   signal {number} {sent_at - at:+.3f}"
+        for sent_at, vm, number in deployment.record.signals
+        if vm == violation.vm and abs(sent_at - at) < LOG_WINDOW_S
+    ]
     for lifetime in deployment.record.lifetimes:
         if lifetime.vm == violation.vm and lifetime.started_at < at:
             start = f"   process since {lifetime.started_at - at:+.3f}"
