Keep a VM that the store turns away as a member after a return

After a return VMs that can't register again were forgotten six seconds later, also those that others reach and that go on by sponsorship. Their shares of the teams' rates went to the others while they used them, so a team could run more than its rate. They stay now while they are in contact, and others for 12 s, as long as a VM that can't be reached keeps its share otherwise.

Found by reading; the new test fails without the change. The test of the calls after a return now loses more changes than are written again, so that the versions that readers know don't come again at once.

--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
@@ -27,7 +27,7 @@
 from guavabarrow_core.store_position import NO_POSITION, StorePosition
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
 PRIMARY_LEASE_S = 6.0
 """Long enough to survive store outages of a few seconds; also the longest wait for an
@@ -234,12 +234,25 @@
             if isinstance(row.row, LeadRow) and self._era_of(row) < self.era
         ]
 
-    def forget_former_members(self) -> None:
-        """Delete registrations of former eras; their leases must have ended."""
-        for key, known in list(self.row_by_key.items()):
-            if isinstance(known.row, MemberRow) and self._era_of(known) < self.era:
-                self._member_by_vm.pop(known.row.vm, None)
-                del self.row_by_key[key]
+    def forget_former_members(self, in_contact: Collection[str]) -> bool:
+        """Delete registrations of former eras; their leases must have ended.
+
+        Parameters
+        ----------
+        in_contact : collection of str
+            VMs that run, and may not reach the store to register again.
+
+        Returns
+        -------
+        bool
+            Whether such registrations remain.
+        """
+        former = [vm for vm in self._member_by_vm if self.is_former(member_key(vm))]
+        kept = [vm for vm in former if vm == self.vm or vm in in_contact]
+        for vm in set(former).difference(kept):
+            del self._member_by_vm[vm]
+            del self.row_by_key[member_key(vm)]
+        return bool(kept)
 
     @staticmethod
     def _era_of(row: VersionedRow) -> int:
--- a/packages/guavabarrow-core/tests/test_fleet_state.py
+++ b/packages/guavabarrow-core/tests/test_fleet_state.py
@@ -190,8 +190,10 @@
     state.apply([], StorePosition.at(1, 2), as_of=10.2, now=10.2, is_full=True)
     assert state.primary_row(SERVICE) == primary_row()
     assert set(state.member_by_vm()) == {"a", "b"}
-    state.forget_former_members()
-    assert not state.member_by_vm()
+    state.forget_former_members({"b"})
+    assert set(state.member_by_vm()) == {"a", "b"}
+    state.forget_former_members(())
+    assert set(state.member_by_vm()) == {"a"}
     assert [row.key for row in state.former_primary_rows()] == [
         primary_row_key(SERVICE)
     ]
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/fleet_service.py
@@ -8,7 +8,6 @@
 from twisted.internet.task import deferLater
 
 from guavabarrow_core.fleet_state import (
-    PRIMARY_LEASE_S,
     SPONSORSHIP_S,
     FleetState,
     LeadRow,
@@ -96,6 +95,10 @@
 """Age of a table up to which a VM relies on its observer's copy."""
 
 RELAY_CHECK_INTERVAL_S = 0.3
+FORMER_MEMBERS_S = 12.0
+"""Time for which a VM that can't be reached is kept after a return of the store. It
+holds its shares of the teams' rates as long in other outages."""
+
 MEMBER_PREFIX = member_key("")
 MAX_OBSERVER_AGE_S = 0.1
 """Time for which the choice of the observer is kept; it is needed for each message."""
@@ -290,16 +293,18 @@
         if not is_return:
             return
         metrics.store_returns.inc()
-        self._reactor.callLater(PRIMARY_LEASE_S, self._forget_former_members, era)
+        self._reactor.callLater(FORMER_MEMBERS_S, self._forget_former_members, era)
         self._send_former_rows(self._links.connected_vms())
         for callback in self.on_era:
             callback()
         self.send_heartbeat_now()
 
     def _forget_former_members(self, era: int) -> None:
-        if self.state.era == era and not self.is_stopping:
-            self.state.forget_former_members()
-            self._update_peers()
+        if self.state.era != era or self.is_stopping:
+            return
+        if self.state.forget_former_members(self._links.live_peers()):
+            self._reactor.callLater(FORMER_MEMBERS_S, self._forget_former_members, era)
+        self._update_peers()
 
     def _send_former_rows(self, vms: Iterable[str]) -> None:
         """Send remembered rows of primaries, of which the store may have older ones."""
--- a/packages/guavabarrow-daemon/tests/test_store_return.py
+++ b/packages/guavabarrow-daemon/tests/test_store_return.py
@@ -26,7 +26,7 @@
     member_key,
 )
 from guavabarrow_core.store_position import StorePosition
-from guavabarrow_daemon.fleet.fleet_service import FleetService
+from guavabarrow_daemon.fleet.fleet_service import FORMER_MEMBERS_S, FleetService
 from guavabarrow_daemon.fleet.operator_orders import RECOVERY_S
 from guavabarrow_daemon.fleet.promotion_service import PromotionService
 
@@ -111,8 +111,9 @@
     """Readers went round through dropped history and full reads until the end."""
     calls = {}
     for is_return in (False, True):
-        fleet.publish()
-        fleet.run(CONTACT_S)
+        for _ in range(4):
+            fleet.publish()
+            fleet.run(1.0)
         before = fleet.store.calls + fleet.operator_store.calls
         fleet.leave_store()
         if is_return:
@@ -282,6 +283,32 @@
     fleet.assert_invariants()
 
 
+def test_a_vm_that_the_store_turns_away_keeps_its_share_of_rates(fleet):
+    """Others took its share, while it went on by sponsorship."""
+    name = "west-1"
+    fleet.leave_store()
+    fleet.come_back()
+    fleet.set_store_access(name, has_access=False)
+    for _ in range(30):
+        fleet.run(1.0)
+        for other in fleet.others(name):
+            assert name in fleet.service(other).state.member_by_vm()
+    fleet.set_store_access(name, has_access=True)
+    fleet.run(REPAIR_S)
+    fleet.assert_repaired()
+
+
+def test_a_vm_that_is_lost_at_a_return_is_forgotten(fleet):
+    fleet.leave_store()
+    fleet.kill("west-1")
+    fleet.come_back()
+    fleet.run(2 * FORMER_MEMBERS_S)
+    assert all(
+        "west-1" not in fleet.service(name).state.member_by_vm()
+        for name in fleet.vm_by_name
+    )
+
+
 def test_a_late_write_of_a_former_era_changes_nothing(fleet):
     """Its condition met a version that was given out again."""
     holder = fleet.holder()
