--- a/review/harness-2/standins.py
+++ b/review/harness-2/standins.py
@@ -39,6 +39,9 @@
 """Time after which a case is ended as one that couldn't run."""
 
 
+given_ports: set[int] = set()
+
+
 def free_port() -> int:
     """Return an unused port of the loopback address.
 
@@ -52,6 +55,8 @@
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
+        if port not in given_ports:
+            given_ports.add(port)
             return port
 
 
