Let a target that holds nothing have no position

Cause: decode_status replaced the position "-" by the start of the newest term, which sorts above every log that ends in an older term. The record of the case has one promotion, of the empty database; the decoder's test shows the invented position.

Change: the end of a log is optional, and an absent one reaches nothing. An empty replica counts for nothing, stands for no other replica, and is promoted only if no target is known to have held a commit; without synchronous replicas also once 15 s have passed without a log. Replicas that register during a replacement join it. A primary that answers without its log isn't kept.

--- a/packages/guavabarrow-core/src/guavabarrow_core/log_position.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/log_position.py
@@ -21,6 +21,26 @@
     index: int
 
 
+def reaches(end: LogPosition | None, required: LogPosition | None) -> bool:
+    """Return whether a log that ends at ``end`` contains a position.
+
+    Parameters
+    ----------
+    end : LogPosition or None
+        End of the log, None if it holds nothing.
+    required : LogPosition or None
+        The position, None if nothing is required.
+
+    Examples
+    --------
+    >>> reaches(LogPosition(2, 1), LogPosition(1, 9)), reaches(None, LogPosition(1, 0))
+    (True, False)
+    >>> reaches(None, None)
+    True
+    """
+    return required is None or (end is not None and end >= required)
+
+
 @dataclass(frozen=True, slots=True)
 class TermStart:
     """First index that was written in a term."""
--- a/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
@@ -18,6 +18,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
+from guavabarrow_core.log_position import reaches
 from guavabarrow_core.store_position import NO_POSITION, StorePosition
 
 if TYPE_CHECKING:
@@ -34,6 +35,10 @@
 """Time after which a replica that was refused is tried again if no other one has all
 acknowledged commits."""
 
+EMPTY_LOG_WAIT_S = 15.0
+"""Time for which a replacement without synchronous replicas waits for a log if all that
+answer hold nothing. A log is on its way to a new replica, or the primary may return."""
+
 PROMOTION_TIMEOUT_S = 2.0
 """Longest wait until a promoted target reports that it is the primary; twice the
 longest promotion time that is specified for a deployment."""
@@ -115,6 +120,8 @@
     is_failed_by_vote : bool
         Whether the primary counts as failed because enough other VMs can't use it,
         although this VM can reach it.
+    has_log : bool
+        Whether the service's log is known to have held anything.
     """
 
     service: str
@@ -126,6 +133,7 @@
     sync_replicas: int = 0
     is_resumed: bool = False
     is_failed_by_vote: bool = False
+    has_log: bool = False
     stage: PromotionStage = PromotionStage.MARKING
     chosen_id: str = ""
     started_at: float = 0.0
@@ -193,7 +201,7 @@
                 self.stage = PromotionStage.REVERTING
                 return [MarkSettled(self.old_primary_id, self.term)]
         else:
-            chosen = self._most_advanced()
+            chosen = self._most_advanced(now)
             if chosen is not None and not self._is_caught_up(chosen):
                 chosen = chosen if has_waited else None
         if chosen is None:
@@ -242,9 +250,11 @@
 
         When a network partition between domains ends, the last VMs confirm that they
         stopped using the old primary at the same moment as it answers again. Promoting
-        a replica then would roll back commits needlessly.
+        a replica then would roll back commits needlessly. A primary that started again
+        without its log isn't kept.
         """
-        is_unchanged = old.term == self.term and not self.refused_ids
+        has_its_log = old.received is not None or not self.has_log
+        is_unchanged = old.term == self.term and has_its_log and not self.refused_ids
         must_replace = self.is_planned or self.is_resumed or self.is_failed_by_vote
         return is_unchanged and not must_replace
 
@@ -284,31 +294,56 @@
             for target_id in self._replicas
             if target_id in self.status_by_id
         }
-        if not received_by_id:
-            return None
-        required = max(received_by_id.values())
-        required_count = max(1, len(self._replicas) - self.sync_replicas + 1)
+        end_by_id = {
+            target_id: received
+            for target_id, received in received_by_id.items()
+            if received is not None
+        }
+        counted = len(self._replicas) - (len(received_by_id) - len(end_by_id))
+        if not end_by_id:
+            return self._first_without_log(counted)
+        required = max(end_by_id.values())
+        required_count = max(1, counted - self.sync_replicas + 1)
         if self.final_position is not None and self.final_position >= required:
             required = self.final_position
-        elif len(received_by_id) < required_count:
+        elif len(end_by_id) < required_count:
             # An old primary whose log ends earlier has started again without it.
             return None
-        complete = [key for key, end in received_by_id.items() if end >= required]
+        complete = [key for key, end in end_by_id.items() if end >= required]
         if now - self.refused_at > REFUSED_RETRY_S:
             self.refused_ids.difference_update(complete)
         return next((key for key in complete if key not in self.refused_ids), None)
 
-    def _most_advanced(self) -> str | None:
-        compared = [
-            target_id
+    def _first_without_log(self, unknown: int) -> str | None:
+        """Return a replica if no target of the service has ever held a commit.
+
+        Parameters
+        ----------
+        unknown : int
+            Replicas of which it isn't known whether they hold anything.
+        """
+        if unknown > 0 or self.has_log or self.final_position is not None:
+            return None
+        return next(
+            (key for key in self._replicas if key not in self.refused_ids), None
+        )
+
+    def _most_advanced(self, now: float) -> str | None:
+        end_by_id = {
+            target_id: self.status_by_id[target_id].received
             for target_id in self.candidates
             if target_id in self.status_by_id and target_id not in self.refused_ids
-        ]
-        if not compared:
+        }
+        longest = max(
+            (end for end in end_by_id.values() if end is not None), default=None
+        )
+        may_find_log = self.has_log or len(end_by_id) < len(self.candidates)
+        has_waited = now - self.compared_at >= EMPTY_LOG_WAIT_S
+        if longest is None and may_find_log and not has_waited:
             return None
-        return max(compared, key=lambda key: self.status_by_id[key].received)
+        return next((key for key, end in end_by_id.items() if end == longest), None)
 
     def _is_caught_up(self, target_id: str) -> bool:
         if not self.is_planned or self.final_position is None:
             return True
-        return self.status_by_id[target_id].received >= self.final_position
+        return reaches(self.status_by_id[target_id].received, self.final_position)
--- a/packages/guavabarrow-core/src/guavabarrow_core/session_messages.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/session_messages.py
@@ -193,8 +193,8 @@
         Whether it accepts writes.
     term : int
         Newest term that it has seen; its last log entry may have an older one.
-    received : LogPosition
-        End of its log.
+    received : LogPosition or None
+        End of its log, None if it holds nothing.
     paused_term : int
         Term for which it has paused replication, 0 if it replicates.
     lag_ms : float
@@ -205,7 +205,7 @@
 
     is_primary: bool
     term: int
-    received: LogPosition
+    received: LogPosition | None
     paused_term: int = 0
     lag_ms: float = 0.0
     busy: int = 0
--- a/packages/guavabarrow-core/tests/test_promotion.py
+++ b/packages/guavabarrow-core/tests/test_promotion.py
@@ -7,6 +7,7 @@
 from guavabarrow_core.log_position import LogPosition
 from guavabarrow_core.promotion import (
     CATCH_UP_TIMEOUT_S,
+    EMPTY_LOG_WAIT_S,
     REFUSED_RETRY_S,
     DemotePrimary,
     MarkMoving,
@@ -214,3 +215,66 @@
     compare_replicas(promotion, statuses)
     late = promotion.on_statuses(statuses, CATCH_UP_TIMEOUT_S + 0.1)
     assert isinstance(late[0], ReadStatuses)
+
+
+EMPTY = replace(REPLICA, term=9, received=None)
+
+
+def test_a_replica_that_holds_nothing_is_not_the_most_advanced():
+    """It counted as the start of the newest term, which is above older logs."""
+    for changes in ({}, {"sync_replicas": 1}):
+        promotion = start_promotion(has_log=True, **changes)
+        actions = compare_replicas(promotion, {"r1": EMPTY, "r2": REPLICA})
+        assert actions[-1] == RequestPromotion("r2")
+
+
+def test_a_replica_that_holds_nothing_stands_for_no_other():
+    """It acknowledged nothing, so its answer doesn't replace one that is missing."""
+    promotion = start_durable(has_log=True)
+    statuses = {"r1": EMPTY, "r2": REPLICA}
+    assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
+    actions = promotion.on_statuses({"d1": status_at(12)}, 0.2)
+    assert actions[-1] == RequestPromotion("d1")
+
+
+def test_an_empty_replica_is_not_promoted_while_a_log_may_turn_up():
+    promotion = start_promotion(has_log=True)
+    statuses = {"r1": EMPTY, "r2": EMPTY}
+    assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
+    actions = promotion.on_statuses({"r2": REPLICA}, 0.9 * EMPTY_LOG_WAIT_S)
+    assert actions[-1] == RequestPromotion("r2")
+
+
+def test_no_empty_replica_is_promoted_where_commits_were_acknowledged():
+    promotion = start_promotion(has_log=True, sync_replicas=1)
+    statuses = {"r1": EMPTY, "r2": EMPTY}
+    compare_replicas(promotion, statuses)
+    late = promotion.on_statuses(statuses, 10.0 * EMPTY_LOG_WAIT_S)
+    assert isinstance(late[0], ReadStatuses)
+
+
+def test_a_service_without_any_log_is_not_held_up():
+    for changes in ({}, {"sync_replicas": 1}):
+        statuses = {"r1": EMPTY, "r2": EMPTY}
+        actions = compare_replicas(start_promotion(**changes), statuses)
+        assert actions[-1] == RequestPromotion("r1")
+
+
+def test_a_service_without_any_log_waits_for_replicas_that_may_have_one():
+    promotion = start_promotion(sync_replicas=1)
+    actions = compare_replicas(promotion, {"r1": EMPTY})
+    assert isinstance(actions[0], ReadStatuses)
+
+
+def test_a_primary_that_started_again_without_its_log_is_not_kept():
+    statuses = {"p": replace(PRIMARY, received=None), "r1": REPLICA}
+    actions = compare_replicas(start_promotion(has_log=True), statuses)
+    assert actions[-1] == RequestPromotion("r1")
+
+
+def test_a_planned_switchover_waits_for_a_replica_that_holds_nothing_yet():
+    promotion = start_promotion(is_planned=True, candidates=("r1",), has_log=True)
+    statuses = {"p": PRIMARY, "r1": EMPTY}
+    assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
+    actions = promotion.on_statuses({"p": PRIMARY, "r1": REPLICA}, 0.2)
+    assert actions[-1] == RequestPromotion("r1")
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -16,6 +16,7 @@
     VersionedRow,
     primary_row_key,
 )
+from guavabarrow_core.log_position import reaches
 from guavabarrow_core.promotion import (
     PROMOTION_TIMEOUT_S,
     STATUS_INTERVAL_S,
@@ -299,6 +300,7 @@
             is_failed_by_vote=self._primary_watch.is_reachable(
                 primary_row.primary_id, now_s()
             ),
+            has_log=self._primary_service.history(service).newest is not None,
         )
         self._promotion_by_service[service] = promotion
         log_decision(
@@ -357,7 +359,10 @@
                 if status is not None and status.is_primary:
                     await deferLater(self._reactor, CATCH_UP_CHECK_S, lambda: None)
                     received = await self._admin_client.statuses(replicas)
-                    if all(s.received < status.received for s in received.values()):
+                    if not any(
+                        reaches(replica.received, status.received)
+                        for replica in received.values()
+                    ):
                         await deferLater(self._reactor, CATCH_UP_RETRY_S, lambda: None)
                         return
             finally:
@@ -513,12 +518,18 @@
             promotion.set_replicas(
                 *self._replicas(promotion.service, promotion.old_primary_id)
             )
+        else:
+            usable, _ = self._replicas(promotion.service, promotion.old_primary_id)
+            joined = dict.fromkeys([*promotion.candidates, *usable])
+            promotion.set_replicas(tuple(joined), ())
         actions = promotion.on_statuses(statuses, now_s())
         log_decision(
             "replicas_compared",
             service=promotion.service,
             received={
                 key: f"{status.received.term}.{status.received.index}"
+                if status.received
+                else "nothing"
                 for key, status in statuses.items()
             },
             chosen=promotion.chosen_id,
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -326,6 +326,11 @@
     is_deaf: bool = False
     received: int = 1
 
+    @property
+    def position(self) -> LogPosition | None:
+        """End of its log, None if it holds nothing."""
+        return LogPosition(1, self.received) if self.received else None
+
     @property
     def is_listed_as_primary(self) -> bool:
         """Role in the target's entry."""
@@ -498,8 +503,7 @@
         except TargetUnreachable:
             return None
         target = self._find(entry)
-        position = LogPosition(1, target.received)
-        return TargetStatus(target.is_primary, target.term, position)
+        return TargetStatus(target.is_primary, target.term, target.position)
 
     async def statuses(self, entries: list[TargetEntry]) -> dict[str, TargetStatus]:
         """Return the statuses of the targets that answer."""
--- a/packages/guavabarrow-daemon/tests/test_sync_replicas.py
+++ b/packages/guavabarrow-daemon/tests/test_sync_replicas.py
@@ -10,7 +10,7 @@
 
 import pytest
 from sim_fleet import SimFleet
-from sim_platform import publish_configuration
+from sim_platform import SimTarget, publish_configuration
 from twisted.internet.task import LoopingCall
 
 from guavabarrow_daemon.fleet.directory_service import LOG_TRANSFER_S, DirectoryService
@@ -139,6 +139,40 @@
     assert_nothing_lost(fleet)
 
 
+def replace_drained_replica(fleet: SimFleet) -> SimTarget:
+    """Drain the replica in the east; its successor holds nothing yet."""
+    east = fleet.target("east")
+    east.is_draining = True
+    fleet.run(3.0)
+    fleet.group.crash(east)
+    new = SimTarget("target-new", "east", east.host, False, received=0, is_deaf=True)
+    fleet.group.targets.append(new)
+    fleet.run(3.0)
+    return new
+
+
+def test_an_empty_successor_of_a_drained_replica_is_not_promoted(fleet):
+    """It counted as the most advanced one, with the newest term and no position."""
+    replace_drained_replica(fleet)
+    assert replace_crashed_primary(fleet) == "target-west"
+    fleet.run_until(fleet.is_serving, FAILOVER_S)
+    assert_nothing_lost(fleet)
+
+
+def test_a_service_without_commits_gets_a_new_primary(monkeypatch):
+    """All replicas hold nothing, and none of them has lost anything."""
+    fleet = SimFleet(monkeypatch)
+    fleet.operator_store.sync_replicas = 1
+    for target in fleet.group.targets:
+        target.received = 0
+    fleet.group.acknowledged = 0
+    version = publish_configuration(fleet.operator_store)
+    fleet.wait_until_serving()
+    fleet.run_until(lambda: fleet.has_configuration(version), RECOVERY_S)
+    replace_crashed_primary(fleet)
+    fleet.run_until(fleet.is_serving, FAILOVER_S)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_random_faults_lose_no_acknowledged_commit(fleet, seed):
     """One replica at a time is deaf, draining or silent; primaries crash meanwhile."""
--- a/tests/platform_adapter/test_wire.py
+++ b/tests/platform_adapter/test_wire.py
@@ -102,6 +102,12 @@
     assert (status.lag_ms, status.busy, status.connections) == (12.0, 2, 17)
 
 
+def test_a_target_that_holds_nothing_has_no_position():
+    """A dash was decoded as the start of the newest term, above all older logs."""
+    status = LineTargetCodec().decode_status(("replica 4 - 0 12 2 17",))
+    assert (status.term, status.received) == (4, None)
+
+
 SHAPES = st.text("ab 0-=/\t\u00b2", min_size=1, max_size=30).filter(str.strip)
 
 
