Count replicas that the list of targets doesn't show

Cause: the replicas of a replacement were those in the present list, read anew at each comparison. In the record of the case the entry expires at 7.2 s, the primary crashes at 9.0 s, and the deaf replica is promoted at 9.3 s while the other one still acknowledges.

Change: ReplicaSet (core) keeps each target that was listed until it is known to be gone, by the evidence and times in docs/design/durability.md: 15 s without a sign of life at most. ReplicaWatch keeps it at the holder of the duty and in the shared table, for holders that never saw an entry. The same cause on related paths is mended with it: entries that run out while replicas are compared, a drained log that counted as transferred once its address was listed, a replica that started again without its log, and one that is about to return with it.

The test of a drained replica's log took its time from LOG_TRANSFER_S, which is gone; it now waits half of the longer GONE_AFTER_S.

--- a/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/fleet_state.py
@@ -1,7 +1,8 @@
 """The shared table in the platform's store and the leases that it grants.
 
 The shared table has a row for each VM, one for the promotion duty (the lease of the
-one VM that may order promotions), and one for the primary of each service. A VM may
+one VM that may order promotions), and one for the primary of each service. A service
+with synchronous replicas also has one for its replicas. A VM may
 use a primary only while it is registered and its copy of the table is less than
 ``PRIMARY_LEASE_S`` old. To replace a primary, the duty holder marks its row as moving
 and then waits until each registered VM has confirmed that it stopped using the primary
@@ -29,6 +30,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
 
+    from guavabarrow_core.target_directory import TargetEntry
+
 PRIMARY_LEASE_S = 6.0
 """Long enough to survive store outages of a few seconds; also the longest wait for an
 unreachable VM before a primary is replaced."""
@@ -125,7 +128,23 @@
     era_since_store_s: float | None = None
 
 
-FleetRow = MemberRow | LeadRow | DutyRow
+@dataclass(frozen=True, slots=True)
+class ReplicasRow:
+    """Targets of a service whose logs a replacement of its primary must consider.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    entries : tuple of TargetEntry
+        Last known entries, also of targets that are no longer listed.
+    """
+
+    service: str
+    entries: tuple[TargetEntry, ...]
+
+
+FleetRow = MemberRow | LeadRow | DutyRow | ReplicasRow
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +166,11 @@
     return f"lead/{service}"
 
 
+def replicas_row_key(service: str) -> str:
+    """Return the key of the row of a service's replicas."""
+    return f"replicas/{service}"
+
+
 DUTY_KEY = "duty"
 
 
@@ -360,6 +384,11 @@
         """Return the row of a service's primary, None if there is none."""
         return self._primary_row_by_key.get(primary_row_key(service))
 
+    def replicas_row(self, service: str) -> ReplicasRow | None:
+        """Return the newest row of a service's replicas, also of a former era."""
+        known = self.row_by_key.get(replicas_row_key(service))
+        return known.row if known and isinstance(known.row, ReplicasRow) else None
+
     def primary_rows(self) -> list[LeadRow]:
         """Return the rows of all services' primaries."""
         return list(self._primary_row_by_key.values())
--- a/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
@@ -112,7 +112,7 @@
         Replicas that accept new work, in order of preference.
     other_replicas : tuple of str
         Further replicas, which may have acknowledged commits that the candidates lack.
-        They include those that can't be reached because their log is being transferred.
+        They include those that can't be reached at the moment.
     sync_replicas : int
         Replicas that had each commit before it was acknowledged.
     is_resumed : bool
@@ -120,8 +120,13 @@
     is_failed_by_vote : bool
         Whether the primary counts as failed because enough other VMs can't use it,
         although this VM can reach it.
+    is_absent : bool
+        Whether the primary's absence from the list is the reason.
     has_log : bool
         Whether the service's log is known to have held anything.
+    incomplete_ids : frozenset of str
+        Replicas that may have lost commits with a former log. What they hold now is not
+        compared.
     """
 
     service: str
@@ -133,7 +138,9 @@
     sync_replicas: int = 0
     is_resumed: bool = False
     is_failed_by_vote: bool = False
+    is_absent: bool = False
     has_log: bool = False
+    incomplete_ids: frozenset[str] = frozenset()
     stage: PromotionStage = PromotionStage.MARKING
     chosen_id: str = ""
     started_at: float = 0.0
@@ -166,8 +173,7 @@
     def can_revert(self) -> bool:
         """Whether the old primary can still be kept: no promotion was requested yet."""
         nothing_requested = self.stage is PromotionStage.STOPPING
-        must_replace = self.is_planned or self.is_resumed or self.is_failed_by_vote
-        return nothing_requested and not must_replace
+        return nothing_requested and not self._must_replace
 
     def on_primary_recovered(self) -> list[PromotionAction]:
         """Handle that the old primary is usable again; ignored once it is too late."""
@@ -235,11 +241,15 @@
         return [ReadStatuses(self._status_targets())]
 
     def set_replicas(
-        self, candidates: tuple[str, ...], other_replicas: tuple[str, ...]
+        self,
+        candidates: tuple[str, ...],
+        other_replicas: tuple[str, ...],
+        incomplete_ids: frozenset[str] = frozenset(),
     ) -> None:
         """Replace the replicas, which may join and leave during a long replacement."""
         self.candidates = candidates
         self.other_replicas = other_replicas
+        self.incomplete_ids = incomplete_ids
 
     def on_settled(self) -> None:
         """Handle the row being marked as settled."""
@@ -255,8 +265,16 @@
         """
         has_its_log = old.received is not None or not self.has_log
         is_unchanged = old.term == self.term and has_its_log and not self.refused_ids
-        must_replace = self.is_planned or self.is_resumed or self.is_failed_by_vote
-        return is_unchanged and not must_replace
+        return is_unchanged and not self._must_replace
+
+    @property
+    def _must_replace(self) -> bool:
+        return (
+            self.is_planned
+            or self.is_resumed
+            or self.is_failed_by_vote
+            or self.is_absent
+        )
 
     def _can_return_to(self, old: TargetStatus | None) -> bool:
         """Return whether a planned switchover can be given up for the old primary."""
@@ -292,7 +310,7 @@
         received_by_id = {
             target_id: self.status_by_id[target_id].received
             for target_id in self._replicas
-            if target_id in self.status_by_id
+            if target_id in self.status_by_id and target_id not in self.incomplete_ids
         }
         end_by_id = {
             target_id: received
--- a/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/target_directory.py
@@ -100,6 +100,7 @@
     _recovered_at: float = float("-inf")
     _returned_at: float = float("-inf")
     _removed_by_id: dict[str, tuple[TargetEntry, float]] = field(default_factory=dict)
+    _listed_ids: frozenset[str] = frozenset()
 
     def record_outage(self, now: float) -> None:
         """Record that the store did not respond."""
@@ -149,6 +150,7 @@
         current = {entry.target_id: entry for entry in entries}
         if now - self._returned_at < RETURNED_ENTRY_S:
             current = self._without_reverted(current)
+        self._listed_ids = frozenset(current)
         changed = [
             target_id
             for target_id, entry in current.items()
@@ -191,6 +193,10 @@
             reverted[key] = replace(entry, is_draining=is_draining)
         return reverted
 
+    def is_listed(self, target_id: str) -> bool:
+        """Return whether the newest listing has a target's entry."""
+        return target_id in self._listed_ids
+
     def of_service(self, service: str) -> list[TargetEntry]:
         """Return the targets of a service."""
         return [
--- a/packages/guavabarrow-core/tests/test_promotion.py
+++ b/packages/guavabarrow-core/tests/test_promotion.py
@@ -278,3 +278,20 @@
     assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
     actions = promotion.on_statuses({"p": PRIMARY, "r1": REPLICA}, 0.2)
     assert actions[-1] == RequestPromotion("r1")
+
+
+def test_what_a_replica_without_its_former_log_holds_is_not_compared():
+    promotion = start_durable(incomplete_ids=frozenset({"d1"}))
+    statuses = {"r1": status_at(9), "r2": status_at(9), "d1": status_at(3)}
+    assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
+    promotion.set_replicas(("r1", "r2"), ("d1",))
+    assert promotion.on_statuses(statuses, 0.2)[-1] == RequestPromotion("r1")
+
+
+def test_a_primary_that_is_listed_again_is_kept():
+    """It is replaced because it was missing from the list, and for nothing else."""
+    promotion = start_durable(is_absent=True)
+    statuses = {"p": status_at(12, PRIMARY), "r1": status_at(9)}
+    assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
+    promotion.is_absent = False
+    assert promotion.on_statuses(statuses, 0.2) == [MarkSettled("p", 1)]
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/directory_service.py
@@ -51,10 +51,6 @@
 OPEN_TIMEOUT_S = 2.0
 """A reachable target that is slow to accept a session is at capacity, not down."""
 
-LOG_TRANSFER_S = 10.0
-"""Time within which a drained target's successor registers. One that takes longer holds
-up replacements no more."""
-
 MIN_WEIGHT, MAX_WEIGHT = 0.1, 10.0
 """Bounds of the weight of a team, which is its rate relative to the mean rate."""
 
@@ -103,7 +99,7 @@
         self._links = kernel.find(PeerLinks)
         self._suspected: dict[str, tuple[str, float]] = {}
         self._last_entry_by_id: dict[str, TargetEntry] = {}
-        self._drained_at_by_id: dict[str, float] = {}
+        self._removed_at_by_id: dict[str, float] = {}
         self.list_digest = 0
         self._unusable_since: dict[str, float] = {}
         self._evacuated_since: dict[str, float] = {}
@@ -273,8 +269,7 @@
         for target_id in removed:
             log_decision("target_gone", target=target_id)
             self._last_entry_by_id[target_id] = previous[target_id]
-            if previous[target_id].is_draining:
-                self._drained_at_by_id[target_id] = now_s()
+            self._removed_at_by_id[target_id] = now_s()
             pool = self.pool_by_id.pop(target_id, None)
             if pool is not None:
                 pool.close("The target is no longer registered.")
@@ -284,22 +279,15 @@
         """Return a target's entry, or its last one if it has expired."""
         return self.entry(target_id) or self._last_entry_by_id.get(target_id)
 
-    def in_transfer(self, service: str) -> list[str]:
-        """Return drained targets whose log no other target at their address has yet.
-
-        They count as unreachable replicas of the service until a target registers with
-        that address, for ``LOG_TRANSFER_S`` at most.
-        """
-        addresses = {(e.host, e.port) for e in self.directory.entry_by_id.values()}
-        for target_id, at in list(self._drained_at_by_id.items()):
-            entry = self._last_entry_by_id[target_id]
-            has_successor = (entry.host, entry.port) in addresses
-            if has_successor or now_s() - at > LOG_TRANSFER_S:
-                del self._drained_at_by_id[target_id]
+    def recently_removed(self, service: str, max_age_s: float) -> list[TargetEntry]:
+        """Return the last entries of a service's targets that are no longer listed."""
+        horizon = now_s() - max_age_s
         return [
-            target_id
-            for target_id in self._drained_at_by_id
-            if self._last_entry_by_id[target_id].service == service
+            self._last_entry_by_id[target_id]
+            for target_id, at in self._removed_at_by_id.items()
+            if at > horizon
+            and target_id not in self.directory.entry_by_id
+            and self._last_entry_by_id[target_id].service == service
         ]
 
     def confirm_entry(self, entry: TargetEntry) -> None:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_watch.py
@@ -23,7 +23,10 @@
 from guavabarrow_daemon.targets.target_admin_client import TargetAdminClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavabarrow_core.target_directory import TargetEntry
+
 PROBE_INTERVAL_S = 0.6
 """Probe interval for a primary that has not answered this VM recently."""
 
@@ -35,12 +38,19 @@
 
 
 class PrimaryWatch(Service):
-    """Failure detector for the primary of each service."""
+    """Failure detector for the primary of each service.
+
+    Attributes
+    ----------
+    on_relayed_answer : list of callable
+        Called with the id of a target that answered the probe of another VM.
+    """
 
     name = "primary_watch"
 
     def __init__(self, kernel: Kernel, reactor: Any) -> None:
         super().__init__(kernel)
+        self.on_relayed_answer: list[Callable[[str], None]] = []
         self._fleet = kernel.find(FleetService)
         self._directory = kernel.find(DirectoryService)
         self._links = kernel.find(PeerLinks)
@@ -138,7 +148,7 @@
             log_decision(
                 "primary_probe_failed", target=entry.target_id, detail=str(error)
             )
-            self._request_relayed_probes(entry.target_id)
+            self.request_relayed_probes(entry.target_id)
         finally:
             self._probing.discard(entry.target_id)
         self._evidence(entry.target_id).record_probe(result, now_s())
@@ -149,10 +159,14 @@
         if entry is None:
             return
         primary_row = self._fleet.state.primary_row(entry.service)
-        if primary_row is not None and primary_row.phase is LeadPhase.MOVING:
+        if (
+            primary_row is not None
+            and primary_row.phase is LeadPhase.MOVING
+            and primary_row.primary_id == target_id
+        ):
             self._directory.confirm_entry(entry)
 
-    def _request_relayed_probes(self, target_id: str) -> None:
+    def request_relayed_probes(self, target_id: str) -> None:
         """Request a probe from one VM of each other failure domain."""
         live_peers = self._links.live_peers()
         for domain, hubs in self._fleet.hubs_by_domain.items():
@@ -170,6 +184,8 @@
             case ProbeAnswer(target_id):
                 self._evidence(target_id).record_relayed_answer(now_s())
                 self._keep_listed(target_id)
+                for callback in self.on_relayed_answer:
+                    callback(target_id)
 
     async def _probe_for(self, vm: str, entry: TargetEntry) -> None:
         try:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -35,6 +35,7 @@
 from guavabarrow_daemon.fleet.peer_links import PeerLinks
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.fleet.primary_watch import PrimaryWatch
+from guavabarrow_daemon.fleet.replica_watch import ReplicaWatch
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
 from guavabarrow_daemon.operations.decision_log import log_decision
@@ -51,6 +52,7 @@
     from guavabarrow_core.store_position import StorePosition
     from guavabarrow_core.target_directory import TargetEntry
     from guavabarrow_daemon.store.watched_table import PromotionAuthority
+    from guavabarrow_daemon.targets.target_admin_client import StatusRound
 
 RETRY_DELAY_S = 0.1
 FAST_COMPARISON_S = 2.0
@@ -96,6 +98,7 @@
         self._links = kernel.find(PeerLinks)
         self._duty = kernel.find(DutyService)
         self._primary_watch = kernel.find(PrimaryWatch)
+        self._replica_watch = kernel.find(ReplicaWatch)
         self._admin_client = TargetAdminClient(self._directory.create_codec, reactor)
         self._promotion_by_service: dict[str, Promotion] = {}
         self._acknowledgements: dict[tuple[str, StorePosition], dict[str, str]] = {}
@@ -148,17 +151,9 @@
                 primary_row, is_planned=False, reason="unfinished", is_resumed=True
             )
             return
-        sync_replicas = self._sync_replicas(service)
-        replicas = [
-            entry
-            for entry in (
-                self._directory.directory.of_service(service)
-                if sync_replicas
-                else self._directory.usable_targets(service)
-            )
-            if entry.target_id != primary_row.primary_id
-        ]
-        if not replicas:
+        sync_replicas = self._replica_watch.sync_replicas(service)
+        candidates, others = self._replicas(service, primary_row.primary_id)
+        if not (candidates or others):
             return
         entry = self._directory.entry(primary_row.primary_id)
         if entry is None:
@@ -168,7 +163,8 @@
                 primary_row,
                 is_planned=False,
                 reason="gone",
-                is_resumed=True,
+                is_resumed=not sync_replicas,
+                is_absent=sync_replicas > 0,
             )
         elif self._primary_watch.is_failed(primary_row.primary_id, now):
             reason = self._primary_watch.describe(primary_row.primary_id, now)
@@ -180,7 +176,7 @@
                 )
             elif now >= self._retry_at_by_service.get(service, float("-inf")):
                 self._prepare_switchover(primary_row, entry)
-        elif self._is_other_primary_listed(entry, replicas, now):
+        elif self._is_other_primary_listed(entry, (*candidates, *others), now):
             self._start_promotion(
                 primary_row,
                 is_planned=False,
@@ -189,10 +185,11 @@
             )
 
     def _is_other_primary_listed(
-        self, entry: TargetEntry, replicas: list[TargetEntry], now: float
+        self, entry: TargetEntry, replica_ids: tuple[str, ...], now: float
     ) -> bool:
-        others = [other for other in replicas if other.is_primary]
-        if entry.is_primary or not others:
+        listed = (self._directory.entry(target_id) for target_id in replica_ids)
+        is_other_listed = any(other and other.is_primary for other in listed)
+        if entry.is_primary or not is_other_listed:
             self._other_primary_since.pop(entry.service, None)
             return False
         since = self._other_primary_since.setdefault(entry.service, now)
@@ -282,11 +279,12 @@
         is_planned: bool,
         reason: str,
         is_resumed: bool = False,
+        is_absent: bool = False,
     ) -> None:
         service = primary_row.service
-        sync_replicas = self._sync_replicas(service)
+        sync_replicas = self._replica_watch.sync_replicas(service)
         candidates, others = self._replicas(service, primary_row.primary_id)
-        if not candidates and not (sync_replicas and others):
+        if not candidates and not others:
             return
         promotion = Promotion(
             service,
@@ -294,13 +292,17 @@
             primary_row.term,
             is_planned,
             candidates,
-            others if sync_replicas else (),
+            others,
             sync_replicas,
             is_resumed,
             is_failed_by_vote=self._primary_watch.is_reachable(
                 primary_row.primary_id, now_s()
             ),
-            has_log=self._primary_service.history(service).newest is not None,
+            is_absent=is_absent,
+            has_log=(
+                self._primary_service.history(service).newest is not None
+                or self._replica_watch.has_log(service)
+            ),
         )
         self._promotion_by_service[service] = promotion
         log_decision(
@@ -316,25 +318,19 @@
         )
         self._start_actions(promotion, promotion.start(now_s()))
 
-    def _sync_replicas(self, service: str) -> int:
-        configuration = self._fleet.configuration
-        limits = configuration and configuration.limits_by_service.get(service)
-        return limits.sync_replicas if limits else 0
-
     def _replicas(
         self, service: str, primary_id: str
     ) -> tuple[tuple[str, ...], tuple[str, ...]]:
-        """Return the replicas that accept new work, and the others."""
+        """Return the replicas that accept new work, and others whose logs matter."""
         usable = self._directory.usable_targets(service)
         candidates = [e.target_id for e in usable if e.target_id != primary_id]
-        registered = [
-            e.target_id for e in self._directory.directory.of_service(service)
-        ]
-        others = [
-            target_id
-            for target_id in (*registered, *self._directory.in_transfer(service))
-            if target_id not in candidates and target_id != primary_id
-        ]
+        others: list[str] = []
+        if self._replica_watch.sync_replicas(service) > 0:
+            others = [
+                target_id
+                for target_id in self._replica_watch.replica_ids(service)
+                if target_id not in candidates and target_id != primary_id
+            ]
         return tuple(candidates), tuple(others)
 
     def _prepare_switchover(self, primary_row: LeadRow, entry: TargetEntry) -> None:
@@ -406,7 +402,7 @@
                 case ReadStatuses(target_ids):
                     pending.extend(await self._compare_replicas(promotion, target_ids))
                 case DemotePrimary(target_id, term):
-                    entry = self._directory.last_known_entry(target_id)
+                    entry = self._replica_watch.entry(target_id)
                     if entry is not None:
                         self.kernel.tasks.start(
                             "demotion", self._admin_client.demote(entry, term)
@@ -504,24 +500,18 @@
         asked_at = now_s()
         entries = [
             entry
-            for entry in map(self._directory.last_known_entry, target_ids)
+            for entry in map(self._replica_watch.entry, target_ids)
             if entry is not None
         ]
-        statuses = await self._admin_client.statuses(entries)
+        answers = await self._admin_client.ask(entries)
+        statuses = answers.status_by_id
         for entry in entries:
             if (
                 entry.target_id == promotion.old_primary_id
                 and entry.target_id in statuses
             ):
                 self._directory.confirm_entry(entry)
-        if promotion.sync_replicas > 0:
-            promotion.set_replicas(
-                *self._replicas(promotion.service, promotion.old_primary_id)
-            )
-        else:
-            usable, _ = self._replicas(promotion.service, promotion.old_primary_id)
-            joined = dict.fromkeys([*promotion.candidates, *usable])
-            promotion.set_replicas(tuple(joined), ())
+        self._update_replicas(promotion, answers)
         actions = promotion.on_statuses(statuses, now_s())
         log_decision(
             "replicas_compared",
@@ -534,6 +524,7 @@
             },
             chosen=promotion.chosen_id,
             unanswered=[key for key in target_ids if key not in statuses],
+            incomplete=sorted(promotion.incomplete_ids),
         )
         if promotion.is_planned and promotion.stage is PromotionStage.REVERTING:
             self._retry_at_by_service[promotion.service] = now_s() + SWITCHOVER_RETRY_S
@@ -548,6 +539,21 @@
             await deferLater(self._reactor, pause_s, lambda: None)
         return actions
 
+    def _update_replicas(self, promotion: Promotion, answers: StatusRound) -> None:
+        """Let a replacement consider replicas that joined, and ignore those gone."""
+        service = promotion.service
+        if promotion.sync_replicas > 0:
+            self._replica_watch.record(service, answers)
+            if self._directory.directory.is_listed(promotion.old_primary_id):
+                promotion.is_absent = False
+        candidates, others = self._replicas(service, promotion.old_primary_id)
+        if promotion.sync_replicas > 0:
+            incomplete_ids = self._replica_watch.incomplete_ids(service)
+            promotion.set_replicas(candidates, others, incomplete_ids)
+        else:
+            joined = dict.fromkeys([*promotion.candidates, *candidates])
+            promotion.set_replicas(tuple(joined), ())
+
     async def _request_promotion(
         self, promotion: Promotion, target_id: str
     ) -> list[Any]:
@@ -599,7 +605,7 @@
         """
         until = now_s() + PROMOTION_TIMEOUT_S
         while self._is_current(promotion):
-            entry = self._directory.entry(target_id)
+            entry = self._replica_watch.entry(target_id)
             status = await self._admin_client.status(entry) if entry else None
             if status and status.is_primary and status.term > promotion.term:
                 return promotion.on_promoted(status.term)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/row_codec.py
@@ -13,16 +13,20 @@
     LeadPhase,
     LeadRow,
     MemberRow,
+    ReplicasRow,
     VersionedRow,
 )
 from guavabarrow_core.store_position import StorePosition
-from guavabarrow_core.target_directory import MAX_NAME_LENGTH, MAX_PORT
+from guavabarrow_core.target_directory import MAX_NAME_LENGTH, MAX_PORT, TargetEntry
 from guavabarrow_daemon.decoding import UndecodableValue, decode_value
 from guavabarrow_daemon.operations.decision_log import log_decision
 
 Text = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 """Bounded, because a row is relayed and logged by each VM."""
 
+MAX_REPLICAS = 64
+"""Targets in one row; longer ones could exceed the size of a row in the store."""
+
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Term = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -58,11 +62,19 @@
     era_since_store_s: float | None = None
 
 
-StoredRow = StoredMember | StoredPrimary | StoredDuty
+class StoredReplicas(msgspec.Struct, frozen=True, tag="replicas"):
+    """Stored form of a service's replicas."""
+
+    service: Name
+    entries: Annotated[tuple[TargetEntry, ...], msgspec.Meta(max_length=MAX_REPLICAS)]
+
+
+StoredRow = StoredMember | StoredPrimary | StoredDuty | StoredReplicas
 ROW_TYPE_BY_STORED_TYPE: dict[type, type] = {
     StoredMember: MemberRow,
     StoredPrimary: LeadRow,
     StoredDuty: DutyRow,
+    StoredReplicas: ReplicasRow,
 }
 STORED_TYPE_BY_ROW_TYPE = {
     row: stored for stored, row in ROW_TYPE_BY_STORED_TYPE.items()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -81,6 +81,12 @@
         self.promotions = self._counter(
             "session_promotions", "Replacements of primaries", "result"
         )
+        self.replicas_gone = self._counter(
+            "replicas_gone",
+            "Replicas that a replacement of the primary no longer waits for",
+            "service",
+            "reason",
+        )
         self.fleet_messages = self._counter(
             "fleet_messages", "Messages between VMs", "direction", "kind"
         )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_vm.py
@@ -23,6 +23,7 @@
 from guavabarrow_daemon.fleet.primary_watch import PrimaryWatch
 from guavabarrow_daemon.fleet.promotion_service import PromotionService
 from guavabarrow_daemon.fleet.rate_service import RateService
+from guavabarrow_daemon.fleet.replica_watch import ReplicaWatch
 from guavabarrow_daemon.fleet.service_hosts import ServiceHosts
 from guavabarrow_daemon.fleet.table_relay import TableRelay
 from guavabarrow_daemon.front.host_exchange import HostExchange
@@ -151,6 +152,7 @@
         kernel.register(PrimaryService(kernel, reactor))
         kernel.register(DutyService(kernel, reactor))
         kernel.register(PrimaryWatch(kernel, reactor))
+        kernel.register(ReplicaWatch(kernel, reactor))
         kernel.register(PromotionService(kernel, interfaces.authority, reactor))
         kernel.register(TargetChooser(kernel, reactor))
         kernel.register(TargetExchange(kernel, reactor))
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/interface.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/interface.py
@@ -56,11 +56,16 @@
         Human-readable explanation.
     is_refused : bool
         Whether the target's machine answered that no process listens on the port.
+    is_replaced : bool
+        Whether another target answered at the address.
     """
 
-    def __init__(self, detail: str, *, is_refused: bool = False) -> None:
+    def __init__(
+        self, detail: str, *, is_refused: bool = False, is_replaced: bool = False
+    ) -> None:
         super().__init__(detail)
         self.is_refused = is_refused
+        self.is_replaced = is_replaced
 
 
 class TargetConnection(ABC):
--- a/packages/guavabarrow-daemon/tests/sim_fleet.py
+++ b/packages/guavabarrow-daemon/tests/sim_fleet.py
@@ -32,6 +32,7 @@
 from guavabarrow_daemon.fleet.primary_watch import PrimaryWatch
 from guavabarrow_daemon.fleet.promotion_service import PromotionService
 from guavabarrow_daemon.fleet.rate_service import RateService
+from guavabarrow_daemon.fleet.replica_watch import ReplicaWatch
 from guavabarrow_daemon.fleet.table_relay import TableRelay
 from guavabarrow_daemon.kernel import Kernel
 from guavabarrow_daemon.operations import clock
@@ -101,10 +102,12 @@
         kernel.register(PrimaryService(kernel, reactor))
         kernel.register(DutyService(kernel, reactor))
         kernel.register(PrimaryWatch(kernel, reactor))
+        kernel.register(ReplicaWatch(kernel, reactor))
         authority = SimAuthority(fleet.group, reactor)
         kernel.register(PromotionService(kernel, authority, reactor))
         kernel.register(RateService(kernel, settings, reactor))
         kernel.find(PrimaryWatch)._admin_client = self._admin_client
+        kernel.find(ReplicaWatch)._admin_client = self._admin_client
         kernel.find(PromotionService)._admin_client = self._admin_client
         self.settings = settings
         if fleet.register_services is not None:
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import numpy as np
+from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.task import deferLater
 
 from guavabarrow_core.log_position import LogPosition
@@ -33,6 +34,7 @@
     WatchedTable,
 )
 from guavabarrow_daemon.targets.interface import TargetUnreachable
+from guavabarrow_daemon.targets.target_admin_client import StatusRound
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -325,6 +327,7 @@
     is_draining: bool = False
     is_deaf: bool = False
     received: int = 1
+    born_ms: int = 0
 
     @property
     def position(self) -> LogPosition | None:
@@ -349,6 +352,8 @@
         End of the commits that a replica has received as well.
     lost : list of str
         Ids of targets that were promoted without all acknowledged commits.
+    status_rounds : int
+        Times that VMs have asked targets for their status.
     """
 
     network: SimNetwork
@@ -358,6 +363,7 @@
     connect_s: float = 0.0
     acknowledged: int = 1
     lost: list[str] = field(default_factory=list)
+    status_rounds: int = 0
 
     def commit(self) -> None:
         """Commit at the leader; replicas that are alive and not deaf receive it."""
@@ -377,6 +383,11 @@
             (t for t in self.targets if t.primary_term), key=lambda t: t.primary_term
         )
 
+    def running_at(self, host: str) -> SimTarget | None:
+        """Return the target whose process runs on a host, None if there is none."""
+        running = (t for t in self.targets if t.is_alive and t.host == host)
+        return next(running, None)
+
     def last_renewal(self, target: SimTarget) -> float:
         """Return when a target last renewed its entry."""
         is_blocked = self.network.is_blocked
@@ -433,6 +444,7 @@
                 1,
                 target.is_draining,
                 target.is_listed_as_primary,
+                born_ms=target.born_ms,
             )
             for target in self._group.targets
             if now - self._group.last_renewal(target) < ENTRY_TTL_S
@@ -493,26 +505,42 @@
             await deferLater(self._reactor, 0.35, lambda: None)
             raise TargetUnreachable("silent")
         if not target.is_alive:
+            successor = self._group.running_at(target.host)
+            if successor is not None and self.can_reach(successor):
+                raise TargetUnreachable("wrong_target", is_replaced=True)
             raise TargetUnreachable("refused", is_refused=True)
         return _Connection()
 
     async def status(self, entry: TargetEntry) -> TargetStatus | None:
         """Return the role, term and log position of a target, None if unreachable."""
-        try:
-            await self.open_connection(entry)
-        except TargetUnreachable:
-            return None
-        target = self._find(entry)
-        return TargetStatus(target.is_primary, target.term, target.position)
+        return (await self.ask([entry])).status_by_id.get(entry.target_id)
 
     async def statuses(self, entries: list[TargetEntry]) -> dict[str, TargetStatus]:
         """Return the statuses of the targets that answer."""
-        found = {}
-        for entry in entries:
-            status = await self.status(entry)
-            if status is not None:
-                found[entry.target_id] = status
-        return found
+        return (await self.ask(entries)).status_by_id
+
+    async def ask(self, entries: list[TargetEntry]) -> StatusRound:
+        """Ask all targets at the same time."""
+        self._group.status_rounds += 1
+        answers = StatusRound(self._group.network.now)
+        asked = [Deferred.fromCoroutine(self._ask(e, answers)) for e in entries]
+        await DeferredList(asked)
+        return answers
+
+    async def _ask(self, entry: TargetEntry, answers: StatusRound) -> None:
+        target_id = entry.target_id
+        try:
+            await self.open_connection(entry)
+        except TargetUnreachable as error:
+            if error.is_refused or error.is_replaced:
+                answers.ended_ids.add(target_id)
+            if error.is_replaced:
+                answers.replaced_ids.add(target_id)
+            return
+        target = self._find(entry)
+        answers.status_by_id[target_id] = TargetStatus(
+            target.is_primary, target.term, target.position
+        )
 
     async def demote(self, entry: TargetEntry, term: int) -> None:
         """Demote a target."""
--- a/packages/guavabarrow-daemon/tests/test_sync_replicas.py
+++ b/packages/guavabarrow-daemon/tests/test_sync_replicas.py
@@ -10,10 +10,12 @@
 
 import pytest
 from sim_fleet import SimFleet
-from sim_platform import SimTarget, publish_configuration
+from sim_platform import SERVICE, SimTarget, publish_configuration
 from twisted.internet.task import LoopingCall
 
-from guavabarrow_daemon.fleet.directory_service import LOG_TRANSFER_S, DirectoryService
+from guavabarrow_core.fleet_state import replicas_row_key
+from guavabarrow_core.replica_set import GONE_AFTER_S
+from guavabarrow_daemon.fleet.directory_service import DirectoryService
 
 COMMIT_INTERVAL_S = 0.05
 FAILOVER_S = 4.0
@@ -42,6 +44,23 @@
     return fleet.group.leader.target_id
 
 
+def wait_until_unlisted(fleet: SimFleet, target_id: str) -> None:
+    """Advance time until no VM lists a target."""
+    directories = [v.kernel.find(DirectoryService) for v in fleet.vm_by_name.values()]
+    fleet.run_until(
+        lambda: not any(directory.entry(target_id) for directory in directories),
+        RECOVERY_S,
+    )
+
+
+def lose(fleet: SimFleet, domain: str, *, is_dark: bool) -> None:
+    """End a target for good; a dark one answers nothing, not even with a reset."""
+    host = fleet.target(domain).host
+    fleet.group.crash(fleet.target(domain))
+    if is_dark:
+        fleet.network.is_blocked = lambda one, other: host in (one, other)
+
+
 def assert_nothing_lost(fleet: SimFleet) -> None:
     assert fleet.group.lost == []
     fleet.assert_invariants()
@@ -110,7 +129,7 @@
     directory = vm.kernel.find(DirectoryService)
     fleet.run_until(lambda: directory.entry("target-east") is None, RECOVERY_S)
     fleet.group.crash(fleet.target("north"))
-    fleet.run(0.5 * LOG_TRANSFER_S)
+    fleet.run(0.5 * GONE_AFTER_S)
     assert fleet.group.promotion_calls == []
     fleet.group.restart(east)
     east.is_draining = False
@@ -139,6 +158,144 @@
     assert_nothing_lost(fleet)
 
 
+def test_a_replica_that_only_the_store_cannot_hear_is_compared(fleet):
+    """It was left out when its entry ran out, and a deaf replica was promoted."""
+    east = fleet.target("east")
+    east.is_unregistered = True
+    fleet.target("west").is_deaf = True
+    wait_until_unlisted(fleet, "target-east")
+    assert replace_crashed_primary(fleet) == "target-east"
+    east.is_unregistered = False
+    fleet.target("west").is_deaf = False
+    fleet.run_until(fleet.is_serving, RECOVERY_S)
+    assert_nothing_lost(fleet)
+
+
+def test_a_replica_that_is_promoted_unlisted_is_replaced_by_a_listed_one(fleet):
+    """No caller's statement may reach a target whose entry has run out."""
+    fleet.target("east").is_unregistered = True
+    fleet.target("west").is_deaf = True
+    wait_until_unlisted(fleet, "target-east")
+    assert replace_crashed_primary(fleet) == "target-east"
+    fleet.target("west").is_deaf = False
+    fleet.run_until(lambda: fleet.is_serving("target-west"), RECOVERY_S)
+    assert_nothing_lost(fleet)
+
+
+def test_a_replica_whose_entry_runs_out_during_the_comparison_is_waited_for(fleet):
+    """The comparison went on with the replicas that were still listed."""
+    fleet.target("west").is_deaf = True
+    fleet.run(1.0)
+    fleet.network.is_blocked = lambda one, other: (
+        "target-east" in (one, other) and "store" not in (one, other)
+    )
+    fleet.group.crash(fleet.target("north"))
+    fleet.run(1.0)
+    fleet.target("east").is_unregistered = True
+    wait_until_unlisted(fleet, "target-east")
+    fleet.run(2.0)
+    assert fleet.group.promotion_calls == []
+    fleet.heal()
+    fleet.run_until(lambda: bool(fleet.group.promotion_calls), FAILOVER_S)
+    fleet.target("east").is_unregistered = False
+    fleet.run_until(lambda: fleet.is_serving("target-east"), RECOVERY_S)
+    assert_nothing_lost(fleet)
+
+
+def test_a_holder_that_never_saw_a_replica_compares_it(fleet):
+    """All VMs start again while its entry is missing; only the shared table has it."""
+    fleet.target("east").is_unregistered = True
+    fleet.target("west").is_deaf = True
+    wait_until_unlisted(fleet, "target-east")
+    names = list(fleet.vm_by_name)
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        fleet.start(name)
+    fleet.run_until(fleet.is_serving, RECOVERY_S)
+    fleet.run(1.0)
+    assert replace_crashed_primary(fleet, RECOVERY_S) == "target-east"
+    fleet.target("east").is_unregistered = False
+    fleet.target("west").is_deaf = False
+    fleet.run_until(fleet.is_serving, RECOVERY_S)
+    assert_nothing_lost(fleet)
+
+
+def test_a_replica_that_only_other_domains_reach_is_not_gone(fleet):
+    """The holder's own failure to reach it says nothing about it."""
+    domain = fleet.holder().split("-")[0]
+    complete, deaf = ("west", "east") if domain == "east" else ("east", "west")
+    fleet.target(complete).is_unregistered = fleet.target(deaf).is_deaf = True
+    host = fleet.target(complete).host
+    fleet.network.is_blocked = lambda one, other: (
+        host in (one, other)
+        and any(name.startswith(f"{domain}-") for name in (one, other))
+    )
+    fleet.run(2.0 * GONE_AFTER_S)
+    fleet.group.crash(fleet.target("north"))
+    fleet.run(0.8 * GONE_AFTER_S)
+    assert fleet.group.promotion_calls == []
+    fleet.heal()
+    fleet.run_until(lambda: fleet.group.leader is fleet.target(complete), FAILOVER_S)
+    assert_nothing_lost(fleet)
+
+
+@pytest.mark.parametrize("is_dark", [False, True])
+def test_a_replica_that_died_long_before_holds_up_no_replacement(fleet, is_dark):
+    """Its port is closed, or its machine is silent for ``GONE_AFTER_S``."""
+    lose(fleet, "east", is_dark=is_dark)
+    fleet.run(GONE_AFTER_S + 5.0 if is_dark else 5.0)
+    assert replace_crashed_primary(fleet) == "target-west"
+    fleet.run_until(fleet.is_serving, FAILOVER_S)
+    assert_nothing_lost(fleet)
+
+
+@pytest.mark.parametrize("is_dark", [False, True])
+def test_a_replica_that_died_with_the_primary_is_waited_for_within_the_limit(
+    fleet, is_dark
+):
+    """A change of the primary has to be over within 18 s."""
+    lose(fleet, "east", is_dark=is_dark)
+    fleet.group.crash(fleet.target("north"))
+    fleet.run_until(fleet.is_serving, 18.0)
+    assert fleet.group.leader.target_id == "target-west"
+    assert_nothing_lost(fleet)
+
+
+def test_a_replica_that_returns_with_its_log_is_waited_for(fleet):
+    """It has the last commits, was down when the primary crashed, and starts again."""
+    fleet.target("west").is_deaf = True
+    fleet.run(1.0)
+    east = fleet.target("east")
+    fleet.group.crash(east)
+    fleet.run(1.0)
+    fleet.group.crash(fleet.target("north"))
+    fleet.run(5.0)
+    assert fleet.group.promotion_calls == []
+    fleet.group.restart(east)
+    fleet.run_until(lambda: fleet.is_serving("target-east"), FAILOVER_S)
+    assert_nothing_lost(fleet)
+
+
+def test_a_replica_that_starts_again_without_its_log_does_not_stand_for_it(fleet):
+    """What it held is only at the primary, which comes back before it is given up."""
+    fleet.target("west").is_deaf = True
+    fleet.run(1.0)
+    east, north = fleet.target("east"), fleet.target("north")
+    fleet.group.crash(east)
+    fleet.run(0.2)
+    fleet.group.restart(east)
+    east.is_deaf, east.received, east.born_ms = True, 0, 1
+    fleet.run(0.2)
+    fleet.group.crash(north)
+    fleet.run(6.0)
+    assert fleet.group.promotion_calls == []
+    fleet.group.restart(north)
+    east.is_deaf = False
+    fleet.run_until(fleet.is_serving, RECOVERY_S)
+    assert_nothing_lost(fleet)
+
+
 def replace_drained_replica(fleet: SimFleet) -> SimTarget:
     """Drain the replica in the east; its successor holds nothing yet."""
     east = fleet.target("east")
@@ -159,6 +316,25 @@
     assert_nothing_lost(fleet)
 
 
+def test_a_log_on_its_way_to_a_successor_is_waited_for(fleet):
+    """It counted as transferred as soon as its address was listed again."""
+    fleet.target("west").is_deaf = True
+    fleet.run(1.0)
+    new = replace_drained_replica(fleet)
+    end = fleet.target("east").received
+    fleet.group.crash(fleet.target("north"))
+    for received in (0, end // 2, end // 2 + 1):
+        new.received = received
+        fleet.run(2.0)
+        assert fleet.group.promotion_calls == []
+    new.received = end - 1
+    fleet.run(0.5)
+    assert fleet.group.promotion_calls == []
+    new.received = end
+    fleet.run_until(lambda: fleet.is_serving("target-new"), FAILOVER_S)
+    assert_nothing_lost(fleet)
+
+
 def test_a_service_without_commits_gets_a_new_primary(monkeypatch):
     """All replicas hold nothing, and none of them has lost anything."""
     fleet = SimFleet(monkeypatch)
@@ -173,6 +349,15 @@
     fleet.run_until(fleet.is_serving, FAILOVER_S)
 
 
+def test_nothing_is_written_or_asked_while_all_replicas_are_listed(fleet):
+    """The record of the replicas costs nothing in calm operation."""
+    row = fleet.store.row_by_key[replicas_row_key(SERVICE)]
+    asked = fleet.group.status_rounds
+    fleet.run(10.0)
+    assert fleet.store.row_by_key[replicas_row_key(SERVICE)] == row
+    assert fleet.group.status_rounds == asked
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_random_faults_lose_no_acknowledged_commit(fleet, seed):
     """One replica at a time is deaf, draining or silent; primaries crash meanwhile."""
