Count the limit for a silent replica from its silence

Cause: as long as the entry of the dead replica was listed, which is three check-ins and a reading of the list, it counted as a sign of life, and the limit of 15 s began after that.

Change: an entry that is merely still there is no sign of life of a target that was asked and didn't answer. A new or changed entry is one.

--- a/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
@@ -51,6 +51,8 @@
         the newest commits.
     is_listed : bool
         Whether its entry is in the list.
+    is_silent : bool
+        Whether it didn't answer when it was last asked.
     end : LogPosition or None
         Farthest end of its log that is known, None if it isn't known to hold anything.
     latest : LogPosition or None
@@ -72,6 +74,7 @@
     entry: TargetEntry
     needed_at: float
     is_listed: bool = True
+    is_silent: bool = False
     end: LogPosition | None = None
     latest: LogPosition | None = None
     answered_at: float = float("-inf")
@@ -82,18 +85,26 @@
     is_covered: bool = False
 
     def record_entry(self, entry: TargetEntry, now: float) -> None:
-        """Record that it is listed; a new process may not have the former one's log."""
+        """Record that it is listed; a new process may not have the former one's log.
+
+        An entry stays for some time after its target has ended, so only a new one shows
+        that a silent target lives.
+        """
         if entry.born_ms != self.entry.born_ms:
             self.is_log_lost = True
             self.ended_since = now
             self.is_covered = False
+        if entry != self.entry or not self.is_listed:
+            self.is_silent = False
+        if not self.is_silent:
+            self.needed_at = now
         self.entry = entry
-        self.needed_at = now
         self.is_listed = True
 
     def record_answer(self, received: LogPosition | None, now: float) -> None:
         """Record the end of its log."""
         self.needed_at = self.answered_at = now
+        self.is_silent = False
         if received != self.latest:
             self.unchanged_since = now
         self.latest = received
@@ -181,6 +192,7 @@
         replica = self.replica_by_id.get(target_id)
         if replica is not None:
             replica.needed_at = now
+            replica.is_silent = False
             if not replica.is_log_lost:
                 replica.ended_since = None
 
@@ -208,6 +220,7 @@
         """
         for target_id, replica in self._replicas():
             status = status_by_id.get(target_id)
+            replica.is_silent = status is None
             if status is not None:
                 replica.record_answer(status.received, asked_at)
             elif target_id not in ended_ids:
--- a/packages/guavabarrow-core/tests/test_replica_set.py
+++ b/packages/guavabarrow-core/tests/test_replica_set.py
@@ -85,6 +85,29 @@
     assert rounds.gone == ["a"]
 
 
+def test_the_entry_of_a_target_that_has_ended_does_not_prolong_the_limit():
+    """It stays for three check-ins; the limit is what a change of primary may take."""
+    rounds = Rounds()
+    while rounds.now < 5.0:
+        rounds.ask(b=9)
+    rounds.unlist("a")
+    while rounds.now < GONE_AFTER_S + ROUND_S:
+        rounds.ask(b=9)
+    assert rounds.ids == ("b",)
+
+
+def test_a_new_entry_is_a_sign_of_life():
+    rounds = Rounds()
+    rounds.ask(b=9)
+    rounds.unlist("a")
+    rounds.ask(b=9)
+    rounds.listed.append(entry("a"))
+    rounds.ask(b=9)
+    rounds.unlist("a")
+    rounds.now += GONE_AFTER_S - ROUND_S
+    assert set(rounds.ids) == {"a", "b"}
+
+
 def test_a_silent_replica_counts_while_the_primary_commits_without_the_others():
     """Somebody acknowledges the commits, and nobody else can."""
     rounds = Rounds()
