Reject answers of a primary that has lost its log, and replace it

A database may start again under its id and hold nothing. If that is the primary, callers read nothing where their writes were acknowledged, and if it comes back as a replica nobody leads for good.

Cause: an answer of the primary was taken whatever position it reported, or none. A primary that answers, is listed as a replica and has no rival met no condition for a replacement.

Change: a VM remembers how far it has seen the primary's log in its term. A statement whose answer reports less fails, or its outcome is unknown if it is a write or COMMIT.

Evidence: test_no_answer_comes_from_a_primary_that_lost_its_log and test_a_primary_that_starts_again_as_a_replica_is_replaced fail on the former code.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/primary_service.py
@@ -71,6 +71,15 @@
     sent_at: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class PrimaryEnd:
+    """Farthest end of a primary's log that was seen in its term."""
+
+    target_id: str
+    term: int
+    position: LogPosition
+
+
 class PrimaryService(Service):
     """Primaries that this VM may use, and the work that runs at them.
 
@@ -91,6 +100,7 @@
         self._directory = kernel.find(DirectoryService)
         self._links = kernel.find(PeerLinks)
         self._history_by_service: dict[str, PrimaryHistory] = {}
+        self._end_by_service: dict[str, PrimaryEnd] = {}
         self._running_by_service: dict[str, int] = {}
         self._waiters_by_service: dict[str, list[Deferred[None]]] = {}
         self._moving_since_by_service: dict[str, float] = {}
@@ -178,8 +188,26 @@
         position : LogPosition
             End of the log in the answer.
         """
-        if self.may_use(service, target_id):
-            self.history(service).record(Observation(asked_at, position))
+        if not self.may_use(service, target_id):
+            return
+        self.history(service).record(Observation(asked_at, position))
+        known_end = self.known_end(service, target_id)
+        primary_row = self._fleet.state.primary_row(service)
+        if primary_row is not None and (known_end is None or position > known_end):
+            end = PrimaryEnd(target_id, primary_row.term, position)
+            self._end_by_service[service] = end
+
+    def known_end(self, service: str, target_id: str) -> LogPosition | None:
+        """Return how far a primary's log has been seen in its term, None if not at all.
+
+        A target whose log ends earlier has started again without its log.
+        """
+        end = self._end_by_service.get(service)
+        primary_row = self._fleet.state.primary_row(service)
+        if end is None or primary_row is None or end.target_id != target_id:
+            return None
+        leader = (primary_row.primary_id, primary_row.term)
+        return end.position if (end.target_id, end.term) == leader else None
 
     def begin_work(self, service: str) -> None:
         """Record that an operation started at the primary."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -105,6 +105,7 @@
         self._initializing: set[str] = set()
         self._initializing_since: dict[str, float] = {}
         self._other_primary_since: dict[str, float] = {}
+        self._replica_since: dict[str, float] = {}
         self._retry_at_by_service: dict[str, float] = {}
         self._preparing: set[str] = set()
 
@@ -183,6 +184,50 @@
                 reason="another target leads",
                 is_resumed=True,
             )
+        elif self._is_listed_as_replica(entry, now):
+            self._confirm_demotion(primary_row, entry)
+
+    def _is_listed_as_replica(self, entry: TargetEntry, now: float) -> bool:
+        """Return whether a primary has reported another role for some time."""
+        if entry.is_primary:
+            self._replica_since.pop(entry.service, None)
+            return False
+        since = self._replica_since.setdefault(entry.service, now)
+        return now - since > LISTING_LAG_S
+
+    def _confirm_demotion(self, primary_row: LeadRow, entry: TargetEntry) -> None:
+        """Replace a primary that has started again and doesn't lead any more."""
+        service = primary_row.service
+        if service in self._preparing:
+            return
+        self._preparing.add(service)
+
+        async def confirm() -> None:
+            try:
+                status = await self._admin_client.status(entry)
+                if status is None or status.is_primary:
+                    await deferLater(self._reactor, CATCH_UP_RETRY_S, lambda: None)
+                    return
+            finally:
+                self._preparing.discard(service)
+            if self._may_start(primary_row):
+                self._start_promotion(
+                    primary_row,
+                    is_planned=False,
+                    reason="it doesn't lead",
+                    is_resumed=True,
+                )
+
+        self.kernel.tasks.start("demotion_confirm", confirm())
+
+    def _may_start(self, primary_row: LeadRow) -> bool:
+        """Return whether a replacement may start from a row that was read before."""
+        service = primary_row.service
+        return (
+            self._duty.may_order_promotions()
+            and self._fleet.state.primary_row(service) == primary_row
+            and not self._is_replacing(service)
+        )
 
     def _is_other_primary_listed(
         self, entry: TargetEntry, replica_ids: tuple[str, ...], now: float
@@ -305,6 +350,8 @@
             ),
         )
         self._promotion_by_service[service] = promotion
+        self._other_primary_since.pop(service, None)
+        self._replica_since.pop(service, None)
         log_decision(
             "promotion_begun",
             service=service,
@@ -363,11 +410,7 @@
                         return
             finally:
                 self._preparing.discard(service)
-            if (
-                self._duty.may_order_promotions()
-                and self._fleet.state.primary_row(service) == primary_row
-                and not self._is_replacing(service)
-            ):
+            if self._may_start(primary_row):
                 self._start_promotion(
                     primary_row, is_planned=True, reason=SWITCHOVER_REASON
                 )
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/target_exchange.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import TimeoutError
 
 from guavabarrow_core.exceptions import SessionError
+from guavabarrow_core.log_position import reaches
 from guavabarrow_core.response_baseline import WorkClass, WorkKind
 from guavabarrow_core.session_messages import (
     NOT_RUN_CODES,
@@ -19,6 +20,7 @@
 from guavabarrow_daemon.fleet.primary_service import PrimaryService
 from guavabarrow_daemon.kernel import Kernel, Service
 from guavabarrow_daemon.operations.clock import now_s
+from guavabarrow_daemon.operations.decision_log import log_decision
 from guavabarrow_daemon.operations.session_metrics import SessionMetrics
 from guavabarrow_daemon.targets.interface import TargetConnectionBroken
 
@@ -129,9 +131,11 @@
         Raises
         ------
         SessionError
-            If no reply arrived.
+            If no reply arrived, or the primary ran the statement without its log.
         """
         asked_at = now_s()
+        service, target_id = context.route.service, pool.entry.target_id
+        known_end = self._primary_service.known_end(service, target_id)
         pool.begin_statement()
         running = pool.in_flight
         if not setup_only:
@@ -173,13 +177,23 @@
             ),
             setup_only=setup_only,
         )
-        if reply.ready.position is not None and reply.failure is None:
-            self._primary_service.observe(
-                context.route.service,
-                pool.entry.target_id,
-                asked_at,
-                reply.ready.position,
+        position = reply.ready.position
+        has_run = reply.failure is None and not setup_only
+        if has_run and not reaches(position, known_end):
+            log_decision(
+                "primary_log_lost",
+                service=service,
+                target=target_id,
+                position=str(position),
+                known_end=str(known_end),
             )
+            connection.abort()
+            if not keep_connection:
+                pool.release(connection)
+            code = FailureCode.OUTCOME_UNKNOWN if is_write else FailureCode.FAILED
+            raise SessionError(code, f"{target_id}: the primary has lost its log")
+        if position is not None and reply.failure is None:
+            self._primary_service.observe(service, target_id, asked_at, position)
         if not keep_connection:
             self.release_connection(connection, pool)
         return reply
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -368,7 +368,7 @@
     def commit(self) -> None:
         """Commit at the leader; replicas that are alive and not deaf receive it."""
         leader = self.leader
-        if not leader.is_alive:
+        if not (leader.is_alive and leader.is_primary):
             return
         leader.received += 1
         for target in self.targets:
--- a/packages/guavabarrow-daemon/tests/test_primary_service.py
+++ b/packages/guavabarrow-daemon/tests/test_primary_service.py
@@ -22,6 +22,7 @@
     member_key,
     primary_row_key,
 )
+from guavabarrow_core.log_position import LogPosition
 from guavabarrow_daemon.fleet import primary_service
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.fleet_messages import PrimaryUseStopped
@@ -183,3 +184,17 @@
     for fill in harness.fleet.heartbeat_fillers:
         fill(HeartbeatDraft({}))
     assert harness.confirmations() == [HOLDER] * 4
+
+
+def test_the_known_end_of_a_primary_belongs_to_its_term(harness):
+    """Positions of a former primary would make a shorter log look incomplete."""
+    service = harness.primaries
+    assert service.known_end(SERVICE, OLD) is None
+    for index in (7, 9, 8):
+        service.observe(SERVICE, OLD, 0.0, LogPosition(1, index))
+    assert service.known_end(SERVICE, OLD) == LogPosition(1, 9)
+    assert service.known_end(SERVICE, "t2") is None
+    harness.fleet.put(
+        primary_row_key(SERVICE), LeadRow(SERVICE, LeadPhase.SETTLED, OLD, 3)
+    )
+    assert service.known_end(SERVICE, OLD) is None
--- a/packages/guavabarrow-daemon/tests/test_sync_replicas.py
+++ b/packages/guavabarrow-daemon/tests/test_sync_replicas.py
@@ -349,6 +349,15 @@
     fleet.run_until(fleet.is_serving, FAILOVER_S)
 
 
+def test_a_primary_that_starts_again_as_a_replica_is_replaced(fleet):
+    """Its port was closed too briefly to be noticed, and nobody else leads."""
+    north = fleet.target("north")
+    north.is_primary, north.received, north.born_ms = False, 0, 1
+    fleet.run_until(lambda: fleet.group.leader is not north, 2.0 * FAILOVER_S)
+    fleet.run_until(fleet.is_serving, FAILOVER_S)
+    assert_nothing_lost(fleet)
+
+
 def test_nothing_is_written_or_asked_while_all_replicas_are_listed(fleet):
     """The record of the replicas costs nothing in calm operation."""
     row = fleet.store.row_by_key[replicas_row_key(SERVICE)]
--- a/tests/platform_adapter/test_session_vm.py
+++ b/tests/platform_adapter/test_session_vm.py
@@ -90,6 +90,21 @@
     assert first.execute("EXECUTE s1 p1 x")[1].startswith("ERROR NOSTMT")
 
 
+def test_no_answer_comes_from_a_primary_that_lost_its_log(deployment):
+    """A process that started again under its id read from an empty log."""
+    vm = deployment.start_vm("vm-1")
+    caller = Caller(vm.front, "primary")
+    for number in range(3):
+        assert caller.execute(f"WRITE a{number} kept")[1].startswith("COMPLETE")
+    with deployment.group.lock:
+        deployment.group.primary.log.clear()
+    assert caller.execute("READ a1")[1].startswith("ERROR ")
+    assert caller.execute("WRITE a9 x")[1].startswith("ERROR INDOUBT")
+    assert caller.execute("BEGIN")[1].startswith("COMPLETE")
+    assert caller.execute("READ a1")[1].startswith("ERROR ABORTED")
+    assert vm.events("primary_log_lost")
+
+
 def test_bad_input_gets_a_coded_error(deployment):
     vm = deployment.start_vm("vm-1")
     assert Caller(vm.front, "nothing").greeting.startswith("ERROR NODB")
