End a transaction whose key has moved to another team

Cause: an open transaction was only asked whether its key still exists.

Change: each statement of a transaction that is open at a target compares the team that its key has now. If it is another one, the transaction is rolled back and the statement gets ABORTED. ROLLBACK is accepted in any case.

--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -159,10 +159,8 @@
             raise SessionError(FailureCode.ABORTED, STOPPING_DETAIL)
         if state is TransactionState.IDLE:
             self._start_operation(received_at)
-        elif self._admission.is_withdrawn(self.key, self.database):
-            raise SessionError(FailureCode.ABORTED, "the key was withdrawn")
-        elif kind is not StatementKind.ROLLBACK and self._is_out_of_time(received_at):
-            raise SessionError(FailureCode.ABORTED, STOPPING_DETAIL)
+        elif kind is not StatementKind.ROLLBACK:
+            self._check_transaction(received_at)
         match kind:
             case StatementKind.SET:
                 self._values.by_name[statement.name] = statement.argument
@@ -181,6 +179,24 @@
                 return await self._commit(request, received_at)
         return await self._forward(request, received_at)
 
+    def _check_transaction(self, now: float) -> None:
+        """Check that the open transaction may go on.
+
+        It belongs to the team that its key had when it was opened at a target.
+
+        Raises
+        ------
+        SessionError
+            If it is rolled back instead.
+        """
+        if self._admission.is_withdrawn(self.key, self.database):
+            raise SessionError(FailureCode.ABORTED, "the key was withdrawn")
+        is_at_target = self._transaction is not None
+        if is_at_target and self._admission.team_of(self.key) != self._team:
+            raise SessionError(FailureCode.ABORTED, "the key is now of another team")
+        if self._is_out_of_time(now):
+            raise SessionError(FailureCode.ABORTED, STOPPING_DETAIL)
+
     def _is_out_of_time(self, now: float) -> bool:
         """Return whether this VM stops too soon for the open transaction to go on."""
         drain, route = self._admission.drain, self._route
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_admission.py
@@ -73,12 +73,15 @@
         route = configuration.route_by_database.get(database)
         if route is None:
             raise SessionError(FailureCode.UNKNOWN_DATABASE, "unknown database")
-        team = configuration.team_by_key.get(key)
-        if team is None:
-            if not route.is_open:
-                raise SessionError(FailureCode.UNAUTHORIZED, "unknown key")
-            team = ANONYMOUS_TEAM
-        return route, team
+        if key not in configuration.team_by_key and not route.is_open:
+            raise SessionError(FailureCode.UNAUTHORIZED, "unknown key")
+        return route, self.team_of(key)
+
+    def team_of(self, key: str) -> str:
+        """Return the team that holds a key, ``ANONYMOUS_TEAM`` if none does."""
+        configuration = self._fleet.configuration
+        teams = configuration.team_by_key if configuration is not None else {}
+        return teams.get(key, ANONYMOUS_TEAM)
 
     def is_in_force(self, database: str, key: str, route: Route, team: str) -> bool:
         """Return whether an operation may be sent to a target by a route and team.
--- a/packages/guavabarrow-daemon/tests/sim_hosts.py
+++ b/packages/guavabarrow-daemon/tests/sim_hosts.py
@@ -206,6 +206,9 @@
     def is_withdrawn(self, key, database):
         return False
 
+    def team_of(self, key):
+        return "team"
+
     def record_answer(self, *arguments):
         pass
 
--- a/tests/platform_adapter/local_deployment.py
+++ b/tests/platform_adapter/local_deployment.py
@@ -22,6 +22,7 @@
 SERVICE = "orders"
 KEY = "key-of-north"
 TEAM = "north-team"
+OTHER_TEAM = "south-team"
 USAGE_WINDOW_S = 1
 USAGE_LATE_S = 6
 
@@ -171,12 +172,13 @@
     def configure(
         self,
         keys: tuple[str, ...] = (KEY,),
+        other_keys: tuple[str, ...] = (),
         rate: float = 500,
         max_connections: int = 20,
         timeout_ms: int = 3000,
         **limits: float,
     ) -> None:
-        """Write the next version of the configuration."""
+        """Write the next version of the configuration, with the keys of two teams."""
         self.version += 1
         kinds = ("primary", "bounded_staleness", "read_your_writes")
         routes = [
@@ -193,19 +195,17 @@
             }
             for kind in kinds
         ]
-        tenant = {
-            "Name": TEAM,
-            "ApiKeys": list(keys),
-            "RatePerS": rate,
-            "Burst": rate,
-        }
+        tenants = [
+            {"Name": name, "ApiKeys": list(held), "RatePerS": rate, "Burst": rate}
+            for name, held in ((TEAM, keys), (OTHER_TEAM, other_keys))
+        ]
         service = {"Name": SERVICE, "MaxConns": max_connections, "SyncReplicas": 0}
         configuration = {
             "Version": self.version,
             "Routes": routes,
             "Services": [service],
             "Limits": {"MaxBodyBytes": 262144, "IdleTxMs": 3000, **limits},
-            "Tenants": [tenant],
+            "Tenants": tenants,
         }
         self.configuration = configuration
         self.store.put("op", "config", configuration)
--- a/tests/platform_adapter/test_session_vm.py
+++ b/tests/platform_adapter/test_session_vm.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from local_deployment import KEY, TEAM, Caller, wait_for
+from local_deployment import KEY, OTHER_TEAM, TEAM, Caller, wait_for
 
 from guavabarrow_cli.commands.beliefs_command import beliefs, fetch_local_view
 
@@ -140,6 +140,74 @@
     assert Caller(vm.front, "primary", "another-key").greeting.startswith("READY")
 
 
+def move_key(deployment, vm, *, to_other: bool = True) -> None:
+    """Let the other team hold the callers' key, or the first one again."""
+    keys = {"keys": (), "other_keys": (KEY,)} if to_other else {}
+    deployment.configure(**keys)
+    version = deployment.version
+    wait_for(
+        lambda: any(
+            line["version"] == version for line in vm.events("configuration_in_force")
+        ),
+        "the new version takes effect",
+        timeout_s=3.0,
+    )
+
+
+@pytest.mark.parametrize("begin", ["BEGIN", "BEGIN READ"])
+@pytest.mark.parametrize("text", ["READ a1", "SET lang north", "COMMIT"])
+def test_a_transaction_does_not_go_on_for_the_former_team_of_its_key(
+    deployment, begin, text
+):
+    """It ran, and committed, for the team that no longer held the key."""
+    vm = deployment.start_vm("vm-1")
+    caller = Caller(vm.front, "primary")
+    caller.execute(begin)
+    first = "WRITE a1 lost" if begin == "BEGIN" else "READ a1"
+    assert caller.execute(first)[1].startswith("COMPLETE")
+    ran = len(deployment.group.ran)
+    move_key(deployment, vm)
+    assert caller.execute(text)[1].startswith("ERROR ABORTED")
+    if text != "COMMIT":
+        assert caller.execute("ROLLBACK")[1].startswith("COMPLETE")
+    assert caller.execute("READ a1")[0] == ["none"]
+    assert [s.team for s in deployment.group.ran[ran:]] == [OTHER_TEAM]
+
+
+def test_a_transaction_that_has_not_reached_a_target_runs_for_the_present_team(
+    deployment,
+):
+    vm = deployment.start_vm("vm-1")
+    caller = Caller(vm.front, "primary")
+    caller.execute("BEGIN")
+    ran = len(deployment.group.ran)
+    move_key(deployment, vm)
+    assert caller.execute("WRITE a1 kept")[1].startswith("COMPLETE")
+    assert caller.execute("COMMIT")[1].startswith("COMPLETE")
+    assert {s.team for s in deployment.group.ran[ran:]} == {OTHER_TEAM}
+
+
+def test_a_transaction_goes_on_if_its_key_has_come_back(deployment):
+    vm = deployment.start_vm("vm-1")
+    caller = Caller(vm.front, "primary")
+    caller.execute("BEGIN")
+    assert caller.execute("WRITE a1 kept")[1].startswith("COMPLETE")
+    move_key(deployment, vm)
+    move_key(deployment, vm, to_other=False)
+    assert caller.execute("COMMIT")[1].startswith("COMPLETE")
+    assert caller.execute("READ a1")[0] == ["kept"]
+
+
+def test_a_rollback_is_accepted_after_the_key_was_withdrawn(deployment):
+    """Nothing of the transaction is kept either way."""
+    vm = deployment.start_vm("vm-1")
+    caller = Caller(vm.front, "primary")
+    caller.execute("BEGIN")
+    caller.execute("WRITE a1 lost")
+    move_key(deployment, vm)
+    assert caller.execute("ROLLBACK")[1].startswith("COMPLETE")
+
+
 def test_writes_continue_at_another_target_after_the_primary_crashes(deployment):
     vm = deployment.start_vm("vm-1")
     second = deployment.start_vm("vm-2")
