Bound what callers make a VM hold by a memory budget

Cause: values, prepared statements, messages sent ahead and unread answers were kept without a limit; the memory limit of the settings was used nowhere.

Change: MemoryBudget (core) for a quarter of the limit, with an account for each session and its messages. A caller's next statement isn't started while it doesn't read its answers.

Not covered: large results, frames between VMs, MaxBodyBytes (docs/design/memory.md).

--- a/packages/guavabarrow-core/src/guavabarrow_core/session_values.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/session_values.py
@@ -51,13 +51,42 @@
         object.__setattr__(self, "shared_name", f"{mode}{name}")
 
 
+ENTRY_OVERHEAD_BYTES = 400
+"""Memory of an entry beside its text: objects, a slot of the dictionary, the digest."""
+
+
 @dataclass(slots=True)
 class SessionValues:
-    """Values and prepared statements that were acknowledged to a session."""
+    """Values and prepared statements that were acknowledged to a session.
+
+    Examples
+    --------
+    >>> values = SessionValues(by_name={"zone": "north"})
+    >>> values.growth_of_value("zone", "south-east")
+    5
+    """
 
     by_name: dict[str, str] = field(default_factory=dict)
     prepared_by_name: dict[str, PreparedShape] = field(default_factory=dict)
 
+    def growth_of_value(self, name: str, value: str) -> int:
+        """Return how many bytes more a session holds once a value is set."""
+        former = self.by_name.get(name)
+        return _entry_bytes(name, value) - _entry_bytes(name, former)
+
+    def growth_of_prepared(self, name: str, shape: PreparedShape | None) -> int:
+        """Return the same of a prepared statement, None if it is removed."""
+        former = self.prepared_by_name.get(name)
+        former_text = former.shape if former is not None else None
+        text = shape.shape if shape is not None else None
+        return _entry_bytes(name, text) - _entry_bytes(name, former_text)
+
+
+def _entry_bytes(name: str, text: str | None) -> int:
+    if text is None:
+        return 0
+    return ENTRY_OVERHEAD_BYTES + len(name.encode()) + len(text.encode())
+
 
 @dataclass(frozen=True, slots=True)
 class RestorePlan:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/caller_session.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from guavabarrow_core.exceptions import SessionError
+from guavabarrow_core.memory_budget import MemoryExceeded
 from guavabarrow_core.session_messages import (
     Completed,
     FailureCode,
@@ -27,6 +28,7 @@
 
 if TYPE_CHECKING:
     from guavabarrow_core.log_position import LogPosition
+    from guavabarrow_core.memory_budget import MemoryAccount
     from guavabarrow_core.session_configuration import Route, SessionConfiguration
     from guavabarrow_core.session_messages import Reply
     from guavabarrow_daemon.front.session_admission import SessionAdmission
@@ -73,6 +75,8 @@
         Runs statements.
     database, key : str
         Database that the caller opened, and the key that it presented.
+    memory : MemoryAccount or None
+        Account for session values and prepared statements; None if they aren't limited.
     """
 
     def __init__(
@@ -81,7 +85,9 @@
         runner: StatementRunner[TransactionHandle],
         database: str,
         key: str,
+        memory: MemoryAccount | None = None,
     ) -> None:
+        self._memory = memory
         self._admission = admission
         self._runner = runner
         self.database = database
@@ -163,10 +169,13 @@
             self._check_transaction(received_at)
         match kind:
             case StatementKind.SET:
-                self._values.by_name[statement.name] = statement.argument
+                name, value = statement.name, statement.argument
+                self._resize(self._values.growth_of_value(name, value))
+                self._values.by_name[name] = value
                 return self._completed()
             case StatementKind.PREPARE:
                 shape = PreparedShape(statement.argument, statement.writes)
+                self._resize(self._values.growth_of_prepared(statement.name, shape))
                 self._values.prepared_by_name[statement.name] = shape
                 return self._completed()
             case StatementKind.DEALLOCATE:
@@ -453,7 +462,25 @@
             deadline = min(deadline, self._admission.drain.answer_by)
         return deadline
 
+    def _resize(self, growth: int) -> None:
+        """Change what the session holds.
+
+        Raises
+        ------
+        SessionError
+            If it may not grow; nothing has changed.
+        """
+        if self._memory is None:
+            return
+        try:
+            self._memory.resize(self._memory.held_bytes + growth)
+        except MemoryExceeded as error:
+            is_own_size = error.is_own_size
+            code = FailureCode.TOO_LARGE if is_own_size else FailureCode.OVERLOADED
+            raise SessionError(code, str(error)) from error
+
     def _deallocate(self, statement: Statement) -> list[Answer]:
+        self._resize(self._values.growth_of_prepared(statement.name, None))
         if self._values.prepared_by_name.pop(statement.name, None) is None:
             raise SessionError(
                 FailureCode.UNKNOWN_PREPARED, f"{statement.name} is not prepared"
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/front/session_front.py
@@ -13,6 +13,11 @@
 
 from guavabarrow_core.drain_schedule import DrainSchedule
 from guavabarrow_core.exceptions import SessionError
+from guavabarrow_core.memory_budget import (
+    MemoryAccount,
+    MemoryBudget,
+    MemoryExceeded,
+)
 from guavabarrow_core.session_messages import (
     CloseSession,
     FailureCode,
@@ -53,6 +58,11 @@
 MAX_PIPELINED = 32
 """Messages that a caller may send ahead of their answers."""
 
+BYTES_PER_MB = 1024 * 1024
+CALLERS_MEMORY_SHARE = 0.25
+"""Part of the VM's memory for what callers make it hold. The process itself takes about
+a sixth, and messages are copied while they are read and passed on."""
+
 BACKLOG = 512
 EXPIRE_INTERVAL_S = 0.25
 DRAIN_POLL_S = 0.05
@@ -70,12 +80,16 @@
         self._running: StatementRequest | None = None
         self._is_open = False
         self._opened_at = now_s()
+        self._session_memory = MemoryAccount(front.memory)
+        self._message_memory = MemoryAccount(front.memory)
+        self._is_write_paused = False
         self.session: CallerSession | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection, or refuse it if there are too many."""
         self._is_open = True
         configure_socket(self.transport, UNACKED_TIMEOUT_MS)
+        self.transport.registerProducer(self, True)
         if not self._front.add(self):
             self._write_and_close(
                 [StatementFailed(FailureCode.TOO_MANY_CONNECTIONS, "too many sessions")]
@@ -91,12 +105,41 @@
                 [StatementFailed(FailureCode.MALFORMED, "too many messages sent ahead")]
             )
             return
+        try:
+            self._account_messages()
+        except MemoryExceeded as error:
+            is_own_size = error.is_own_size
+            code = FailureCode.TOO_LARGE if is_own_size else FailureCode.OVERLOADED
+            self._write_and_close([StatementFailed(code, str(error))])
+            return
+        self._process_queue()
+
+    def _account_messages(self) -> None:
+        queued = sum(
+            len(message.statement.text)
+            for message in self._queue
+            if isinstance(message, StatementRequest)
+        )
+        self._message_memory.resize(self._codec.buffered_bytes + queued)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Run no further statement while the caller doesn't read its answers."""
+        self._is_write_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on once the caller has read its answers."""
+        self._is_write_paused = False
         self._process_queue()
 
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the loss of the connection is handled there."""
+
     def connectionLost(self, reason: Failure = CONNECTION_DONE) -> None:  # noqa: N802
         """Roll back the open transaction."""
         self._is_open = False
         self._queue.clear()
+        self._message_memory.resize(0)
+        self._session_memory.resize(0)
         self._front.remove(self)
         if self.session is not None and not self.is_running:
             self.session.abandon("caller left")
@@ -127,8 +170,7 @@
     def close_idle(self) -> None:
         """Close the connection if it is idle."""
         if self._is_open and self.is_idle:
-            self._is_open = False
-            self.transport.loseConnection()
+            self._close()
 
     def finish(self) -> None:
         """Answer all statements without waiting for results, and close the connection.
@@ -149,8 +191,11 @@
         self._queue.clear()
         self._write_and_close(answers)
 
+    def _may_process(self) -> bool:
+        return self._is_open and not self.is_running and not self._is_write_paused
+
     def _process_queue(self) -> None:
-        while self._queue and not self.is_running and self._is_open:
+        while self._queue and self._may_process():
             message = self._queue.popleft()
             match message:
                 case OpenSession() if self.session is None:
@@ -195,7 +240,11 @@
             self._write_and_close([StatementFailed(error.code, error.detail)])
             return
         self.session = CallerSession(
-            admission, self._front.runner, message.database, message.principal
+            admission,
+            self._front.runner,
+            message.database,
+            message.principal,
+            self._session_memory,
         )
         self._write([SessionReady(TransactionState.IDLE)])
 
@@ -234,7 +283,12 @@
 
     def _write_and_close(self, answers: list[Answer]) -> None:
         self._write(answers)
+        self._close()
+
+    def _close(self) -> None:
         self._is_open = False
+        # A transport whose producer is paused would wait for it instead of closing.
+        self.transport.unregisterProducer()
         self.transport.loseConnection()
 
 
@@ -252,6 +306,9 @@
     ) -> None:
         super().__init__(kernel)
         self.create_codec = create_codec
+        self.memory = MemoryBudget(
+            int(settings.memory_mb * BYTES_PER_MB * CALLERS_MEMORY_SHARE)
+        )
         self.admission = kernel.find(SessionAdmission)
         self.runner = kernel.find(HostedRunner)
         self.is_draining = False
@@ -260,6 +317,7 @@
         self._reactor = reactor
         self._connections: set[CallerConnection] = set()
         self._closing_from = float("inf")
+        self._published_refusals = 0
         self._port: Any = None
         self.address = settings.front_address
         self._expiry: LoopingCall | None = None
@@ -372,7 +430,24 @@
     async def _wait_until(self, at: float) -> None:
         await deferLater(self._reactor, max(0.0, at - now_s()), lambda: None)
 
+    def _publish_memory(self) -> None:
+        metrics = self.kernel.find(SessionMetrics)
+        metrics.session_memory.set(self.memory.held_bytes)
+        refused = self.memory.refusals - self._published_refusals
+        if not refused:
+            return
+        self._published_refusals += refused
+        metrics.memory_refusals.inc(refused)
+        log_decision(
+            "memory_refused",
+            count=refused,
+            held_bytes=self.memory.held_bytes,
+            large_bytes=self.memory.large_bytes,
+            limit_bytes=self.memory.limit_bytes,
+        )
+
     def _expire(self) -> None:
+        self._publish_memory()
         configuration = self._fleet.configuration
         limit_s = configuration.idle_transaction_s if configuration else 3.0
         for connection in list(self._connections):
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/operations/session_metrics.py
@@ -110,6 +110,16 @@
         self.sessions = Gauge(
             "guavabarrow_sessions", "Connected callers", registry=self.registry
         )
+        self.session_memory = Gauge(
+            "guavabarrow_session_memory_bytes",
+            "What callers make the VM hold: values, prepared statements, messages",
+            registry=self.registry,
+        )
+        self.memory_refusals = Counter(
+            "guavabarrow_memory_refusals",
+            "Statements and messages refused because of the memory they need",
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             "guavabarrow_session_configuration_version",
             "Version in force",
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_codec.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_codec.py
@@ -35,6 +35,11 @@
     def feed(self, data: bytes) -> list[CallerMessage]:
         """Add received bytes and return the messages that are now complete."""
 
+    @property
+    @abstractmethod
+    def buffered_bytes(self) -> int:
+        """Length of the message that is not complete yet."""
+
     @abstractmethod
     def encode(self, answers: Iterable[Answer]) -> bytes:
         """Encode answers in order."""
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_settings.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/session_settings.py
@@ -38,6 +38,8 @@
         Time between the stop signal and the kill, in s.
     cpu_cores : float
         Processor capacity in cores, 0 if unknown; large VMs relay for small ones.
+    memory_mb : int
+        Limit of the process's memory, in MB.
     max_sessions : int
         Limit of concurrent sessions: the file descriptor limit less a reserve.
     rate_window_s : float
@@ -67,6 +69,7 @@
     metrics_port: Port
     grace_s: float = Field(default=6.0, gt=0)
     cpu_cores: float = Field(default=0.0, ge=0)
+    memory_mb: int = Field(default=300, ge=1)
     max_sessions: int = Field(default=3000, ge=1)
     rate_window_s: float = Field(default=5.0, gt=0)
     rate_over: float = Field(default=0.0, ge=0)
--- a/tests/platform_adapter/test_session_vm.py
+++ b/tests/platform_adapter/test_session_vm.py
@@ -105,6 +105,41 @@
     assert vm.events("primary_log_lost")
 
 
+def test_session_values_without_bound_are_refused(deployment):
+    """They brought VMs over their memory limit, and all sessions there ended."""
+    vm = deployment.start_vm("vm-1")
+    hostile = Caller(vm.front, "primary")
+    outcomes = []
+    for number in range(40):
+        outcomes.append(hostile.execute(f"SET v{number} {'x' * 250_000}")[1])
+        if not outcomes[-1].startswith("COMPLETE"):
+            break
+    assert outcomes[-1].startswith("ERROR TOOBIG")
+    assert hostile.read_line() == "READY I -"
+    assert hostile.execute("SET v0 short")[1].startswith("COMPLETE")
+    other = Caller(vm.front, "primary")
+    assert other.execute("SET lang north")[1].startswith("COMPLETE")
+    assert other.execute("READ a1")[1].startswith("COMPLETE")
+    wait_for(lambda: vm.events("memory_refused"), "the refusal is logged")
+
+
+def test_a_caller_that_reads_nothing_does_not_fill_the_memory(deployment):
+    """Its statements wait until it has read the answers to the ones before."""
+    vm = deployment.start_vm("vm-1")
+    caller = Caller(vm.front, "primary")
+    item = "x" * 200_000
+    assert caller.execute(f"WRITE large {item}")[1].startswith("COMPLETE")
+    ran = len(deployment.group.ran)
+    for number in range(30):
+        caller.send_line(f"QUERY r{number} READ large")
+    time.sleep(1.0)
+    assert len(deployment.group.ran) - ran < 30
+    for _ in range(30):
+        assert caller.read_line() == f"DATAROW {item}"
+        assert caller.read_line().startswith("COMPLETE")
+        assert caller.read_line().startswith("READY")
+
+
 def test_bad_input_gets_a_coded_error(deployment):
     vm = deployment.start_vm("vm-1")
     assert Caller(vm.front, "nothing").greeting.startswith("ERROR NODB")
