Extend the catalogue of mutations by the replicas and the memory budget

Thirteen edits of replica_set, promotion and memory_budget are new, four that no longer matched the code are restated. Two entries of pooled_rate_limiter have been stale since before and stop `make mutations` there; they are unchanged.

--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -82,20 +82,20 @@
     ),
     Mutation(
         "promotion",
-        "return nothing_requested and not must_replace",
+        "return nothing_requested and not self._must_replace",
         "return nothing_requested and not self.is_planned",
         "test_promotion",
     ),
     Mutation(
         "promotion",
-        "return max(compared, key=lambda key: self.status_by_id[key].received)",
-        "return compared[0]",
+        "return next((key for key, end in end_by_id.items() if end == longest), None)",
+        "return next(iter(end_by_id), None)",
         "test_promotion",
     ),
     Mutation(
         "promotion",
-        "status.is_primary and status.term > self.term",
-        "status.is_primary and status.received.term > self.term",
+        "            and status.term > self.term",
+        "            and status.received.term > self.term",
         "test_promotion",
     ),
     Mutation(
@@ -342,7 +342,7 @@
     ),
     Mutation(
         "promotion",
-        "required_count = max(1, len(self._replicas) - self.sync_replicas + 1)",
+        "required_count = max(1, counted - self.sync_replicas + 1)",
         "required_count = 1",
         "test_promotion",
     ),
@@ -424,4 +424,83 @@
         "return recent",
         "test_team_use",
     ),
+    Mutation(
+        "promotion",
+        "counted = len(self._replicas) - (len(received_by_id) - len(end_by_id))",
+        "counted = len(received_by_id)",
+        "test_promotion",
+    ),
+    Mutation(
+        "promotion",
+        "if unknown > 0 or self.has_log or self.final_position is not None:",
+        "if unknown > 0:",
+        "test_promotion",
+    ),
+    Mutation(
+        "promotion",
+        "has_its_log = old.received is not None or not self.has_log",
+        "has_its_log = True",
+        "test_promotion",
+    ),
+    Mutation(
+        "replica_set",
+        "if replica.is_listed or not self._reason_to_ignore(replica, now)",
+        "if replica.is_listed",
+        "test_replacement_model",
+    ),
+    Mutation(
+        "replica_set",
+        "            and reaches(other.latest, replica.end)\n",
+        "",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "return len(holders) >= max(1, min(self.sync_replicas, len(replicas) - 1))",
+        "return True",
+        "test_replacement_model",
+    ),
+    Mutation(
+        "replica_set",
+        "            and other.answered_at == asked_at\n",
+        "",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "            if leads and not replica.is_listed and not is_covered:\n"
+        "                replica.needed_at = now\n",
+        "",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "if replica.ended_since is not None and replica.ended_since >= read_at:",
+        "if False:",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "            and now - other.unchanged_since >= LOG_SETTLED_S\n",
+        "",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "        if not self.is_silent:\n            self.needed_at = now\n",
+        "        self.needed_at = now\n",
+        "test_replica_set",
+    ),
+    Mutation(
+        "memory_budget",
+        "if large_bytes > self.limit_bytes * LARGE_ACCOUNTS_SHARE:",
+        "if False:",
+        "test_memory_budget",
+    ),
+    Mutation(
+        "memory_budget",
+        "if size > largest:",
+        "if False:",
+        "test_memory_budget",
+    ),
 )
