Give the fakes of two tests the method that exchanges now call

18 tests of test_usage_counting and test_pace_service failed since: their fakes of PrimaryService lacked known_end, so each exchange ended with AttributeError. I had run the tests of the changed modules only. The fakes know no end now, so nothing is checked less than before.

--- a/packages/guavabarrow-daemon/tests/test_pace_service.py
+++ b/packages/guavabarrow-daemon/tests/test_pace_service.py
@@ -183,7 +183,7 @@
     exchange.on_sent = []
     exchange._reactor = Clock()
     exchange._metrics = SessionMetrics(Kernel())
-    exchange._primary_service = None
+    exchange._primary_service = SimpleNamespace(known_end=lambda *arguments: None)
     pool = FakePool()
     context = SimpleNamespace(
         deadline=1e12, route=SimpleNamespace(objective_s=0.4, service=SERVICE)
--- a/packages/guavabarrow-daemon/tests/test_usage_counting.py
+++ b/packages/guavabarrow-daemon/tests/test_usage_counting.py
@@ -49,7 +49,9 @@
         Service.__init__(self, kernel)
         self.on_sent = []
         self._reactor = reactor
-        self._primary_service = SimpleNamespace(observe=lambda *arguments: None)
+        self._primary_service = SimpleNamespace(
+            observe=lambda *arguments: None, known_end=lambda *arguments: None
+        )
         self._metrics = kernel.find(SessionMetrics)
 
 
