Keep a replica without its former log incomplete while it is silent

A replica that had started again without its log, and then didn't answer, counted by the answer that it had given before, because its silence took back the time since which its former process had ended. Found in reading the change once more; no run showed it.

test_a_replica_without_its_former_log_stays_incomplete_while_it_is_silent failed before.

--- a/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
@@ -223,10 +223,11 @@
             replica.is_silent = status is None
             if status is not None:
                 replica.record_answer(status.received, asked_at)
-            elif target_id not in ended_ids:
+            elif target_id in ended_ids:
+                if replica.ended_since is None:
+                    replica.ended_since = asked_at
+            elif not replica.is_log_lost:
                 replica.ended_since = None
-            elif replica.ended_since is None:
-                replica.ended_since = asked_at
             replica.is_replaced |= target_id in replaced_ids
         primary = status_by_id.get(self.primary_id)
         leads = primary is not None and primary.is_primary and primary.term >= self.term
--- a/packages/guavabarrow-core/tests/test_replica_set.py
+++ b/packages/guavabarrow-core/tests/test_replica_set.py
@@ -204,6 +204,15 @@
     assert rounds.replicas.incomplete_ids(rounds.now) == set()
 
 
+def test_a_replica_without_its_former_log_stays_incomplete_while_it_is_silent():
+    """An answer that it gave before must not stand for its former log."""
+    rounds = Rounds()
+    rounds.ask(p=9, a=9, b=5)
+    rounds.ask(a=3, b=5)
+    rounds.ask(b=5)
+    assert rounds.replicas.incomplete_ids(rounds.now) == {"a"}
+
+
 def test_a_replica_that_started_again_under_its_id_is_incomplete():
     """It was never asked before, so it isn't known what its former process had."""
     rounds = Rounds()
