Don't let a replica be covered by what others had before it ended

The model check, run with 8,000 examples, promoted a replica without acknowledged commits: a replica received the last commits alone, ended, and the primary crashed before the next round of queries.

Cause: whether the others have all that a replica may have received was kept from before its end, when they had. It is judged anew now once an end is found. That relied on a second fault: a round that doesn't ask a replica was taken for its silence, and took back that it had ended. Rounds now say whom they asked. After an end is found the next round follows in 0.1 s, so that a replica that died 4 s before the primary still holds nothing up.

Evidence: test_what_others_had_before_a_replica_ended_does_not_cover_it fails on the former code. With it alone, test_a_replica_that_is_gone_is_not_waited_for_indefinitely failed, which showed the second fault (test_a_replica_that_is_not_asked_stays_as_it_was).

--- a/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
@@ -92,8 +92,8 @@
         """
         if entry.born_ms != self.entry.born_ms:
             self.is_log_lost = True
-            self.ended_since = now
-            self.is_covered = False
+            self.ended_since = None
+            self.record_end(now)
         if entry != self.entry or not self.is_listed:
             self.is_silent = False
         if not self.is_silent:
@@ -114,11 +114,20 @@
         elif self.end is not None:
             self.is_log_lost = True
         if self.is_log_lost:
-            self.ended_since = now if self.ended_since is None else self.ended_since
+            self.record_end(now)
             return
         self.end = received
         self.ended_since = None
 
+    def record_end(self, now: float) -> None:
+        """Record that its process has ended.
+
+        What the other replicas had before says nothing about its last commits.
+        """
+        if self.ended_since is None:
+            self.ended_since = now
+            self.is_covered = False
+
     def accept_present_log(self) -> None:
         """Let its present log count, as what the former one had isn't needed."""
         self.is_log_lost = False
@@ -202,10 +211,11 @@
         ended_ids: Collection[str],
         replaced_ids: Collection[str],
         *,
+        asked_ids: Collection[str],
         asked_at: float,
         now: float,
     ) -> None:
-        """Record the answers of one round of queries to all targets.
+        """Record the answers of one round of queries.
 
         Parameters
         ----------
@@ -215,17 +225,20 @@
             Targets at whose address no process listens, or another target.
         replaced_ids : collection of str
             Those of them at whose address another target answered.
+        asked_ids : collection of str
+            Targets that were asked.
         asked_at, now : float
             Local times of the queries and of the answers, in s.
         """
         for target_id, replica in self._replicas():
+            if target_id not in asked_ids:
+                continue
             status = status_by_id.get(target_id)
             replica.is_silent = status is None
             if status is not None:
                 replica.record_answer(status.received, asked_at)
             elif target_id in ended_ids:
-                if replica.ended_since is None:
-                    replica.ended_since = asked_at
+                replica.record_end(asked_at)
             elif not replica.is_log_lost:
                 replica.ended_since = None
             replica.is_replaced |= target_id in replaced_ids
@@ -353,6 +366,17 @@
             for _, replica in self._replicas()
         )
 
+    def is_follow_up_due(self) -> bool:
+        """Return whether a replica was found to have ended in the last round.
+
+        What the others must have is only known from the primary's answer in the next.
+        """
+        return any(
+            replica.ended_since is not None
+            and replica.ended_since == self._primary_read_at
+            for _, replica in self._replicas()
+        )
+
     def _is_log_known(self, replica: Replica) -> bool:
         has_log = self._primary_end is not None
         is_asked = replica.answered_at > float("-inf")
--- a/packages/guavabarrow-core/tests/test_replacement_model.py
+++ b/packages/guavabarrow-core/tests/test_replacement_model.py
@@ -331,7 +331,12 @@
             if any(d.is_alive and d.cut_at is None for d in at_address):
                 replaced.add(name)
         self.replicas.record(
-            statuses, ended, replaced, asked_at=self.now, now=self.now + 0.01
+            statuses,
+            ended,
+            replaced,
+            asked_ids=set(self.replicas.replica_by_id),
+            asked_at=self.now,
+            now=self.now + 0.01,
         )
         return statuses
 
--- a/packages/guavabarrow-core/tests/test_replica_set.py
+++ b/packages/guavabarrow-core/tests/test_replica_set.py
@@ -39,7 +39,9 @@
         self.listed = [e for e in self.listed if e.target_id != target_id]
         self.replicas.update(self.listed, self.now)
 
-    def ask(self, *, ended=(), replaced=(), is_leading=True, **end_by_id) -> None:
+    def ask(
+        self, *, ended=(), replaced=(), unasked=(), is_leading=True, **end_by_id
+    ) -> None:
         self.now += ROUND_S
         self.replicas.update(self.listed, self.now)
         statuses = {
@@ -51,7 +53,12 @@
             for target_id, index in end_by_id.items()
         }
         self.replicas.record(
-            statuses, ended, replaced, asked_at=self.now, now=self.now + 0.01
+            statuses,
+            ended,
+            replaced,
+            asked_ids=set(self.replicas.replica_by_id) - set(unasked),
+            asked_at=self.now,
+            now=self.now + 0.01,
         )
 
     @property
@@ -139,6 +146,31 @@
     assert rounds.gone == []
 
 
+def test_what_others_had_before_a_replica_ended_does_not_cover_it():
+    """It acknowledged more, then ended, and the primary crashed before the next round.
+
+    The replica was ignored, and one without its last commits was promoted.
+    """
+    rounds = Rounds()
+    for _ in range(3):
+        rounds.ask(p=9, a=9, b=9)
+    rounds.unlist("a")
+    for _ in range(4):
+        rounds.ask(ended=["a"], b=9)
+    assert rounds.ids == ("a", "b")
+
+
+def test_a_replica_that_is_not_asked_stays_as_it_was():
+    """A replacement doesn't ask one that it may ignore; that is no silence of it."""
+    rounds = Rounds()
+    rounds.unlist("a")
+    for _ in range(4):
+        rounds.ask(ended=["a"], p=9, b=9)
+    for _ in range(3):
+        rounds.ask(unasked=["a"], b=9)
+    assert rounds.ids == ("b",)
+
+
 def test_a_replica_that_has_ended_counts_again_if_the_other_falls_behind():
     """It may be cut off by resets, and acknowledge what the other doesn't receive."""
     rounds = Rounds()
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/replica_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/replica_watch.py
@@ -35,6 +35,9 @@
 """Interval between queries to a service's targets while a replica isn't listed, drains
 or has lost its log."""
 
+FOLLOW_UP_INTERVAL_S = 0.1
+"""The same once a replica was found to have ended, as the primary may fail next."""
+
 ROW_RETRY_S = 1.0
 """Pause after a write of a service's row."""
 
@@ -100,6 +103,7 @@
             answers.status_by_id,
             answers.ended_ids,
             answers.replaced_ids,
+            asked_ids=answers.asked_ids,
             asked_at=answers.asked_at,
             now=now,
         )
@@ -159,10 +163,12 @@
         replicas = self._updated_set(service)
         self._store(service, replicas, now)
         checked_at = self._checked_at_by_service.get(service, float("-inf"))
+        is_follow_up = replicas.is_follow_up_due()
+        interval_s = FOLLOW_UP_INTERVAL_S if is_follow_up else CHECK_INTERVAL_S
         if (
             replicas.is_check_due()
             and service not in self._checking
-            and now - checked_at >= CHECK_INTERVAL_S
+            and now - checked_at >= interval_s
         ):
             self._checked_at_by_service[service] = now
             self._checking.add(service)
