Show a synchronous replica that loses commits after it started again

A replica that starts again under its id counts as complete once its new log reaches the end that was known from long before. Another replica that received nothing was then promoted without 30 acknowledged commits.

--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -81,6 +81,7 @@
         self.log: list[tuple[int, str, str]] = []
         self.is_running = False
         self.is_deaf = False
+        self.is_copying = False
         self.state = "ready"
         self.born = 0
         self.sequence = 0
@@ -113,12 +114,47 @@
             except OSError:
                 pass
 
-    def start_again_empty(self) -> None:
-        """Start under the same id; it holds and knows nothing of before."""
+    def start_again_empty(self, entries_per_s: float = 0.0) -> None:
+        """Start under the same id; it holds and knows nothing of before.
+
+        The log of the primary is copied to it at a rate, 0 for not at all.
+        """
         with self.group.lock:
             self.role, self.term, self.log = "replica", 0, []
+            self.is_copying = True
+        self.start()
+        if entries_per_s:
+            arguments = (entries_per_s, self.born)
+            threading.Thread(target=self._copy, args=arguments, daemon=True).start()
+
+    def start_again_with_log(self) -> None:
+        """Come back after a crash with the log, as a replica if another one leads."""
+        with self.group.lock:
+            leads = [d for d in self.group.databases if d.role == "primary"]
+            if any(d is not self and d.is_running for d in leads):
+                self.role = "replica"
         self.start()
 
+    def _copy(self, entries_per_s: float, born: int) -> None:
+        while self.is_running and self.born == born:
+            time.sleep(1 / entries_per_s)
+            with self.group.lock:
+                source = next(
+                    (
+                        d
+                        for d in self.group.databases
+                        if d.role == "primary" and d.is_running
+                    ),
+                    None,
+                )
+                if source is None or not self.is_copying:
+                    continue
+                self.term = source.term
+                self.log = list(source.log[: len(self.log) + 1])
+                if len(self.log) == len(source.log):
+                    self.is_copying = False
+                    self.group.received.notify_all()
+
     @property
     def position(self) -> str:
         """End of the log as TERM.NUMBER, or a dash."""
@@ -212,6 +248,7 @@
                 self._state, self._writes = "E", []
             ready = f"READY {self._state} {database.position}"
             if request != "-":
+                database.group.ran_at.append((request, time.monotonic()))
                 database.group.record.add(
                     "run",
                     database.name,
@@ -320,16 +357,24 @@
         lag_s: float = 0.008,
         promote_s: float = 0.3,
         work_s: float = 0.005,
+        sync_replicas: int = 0,
+        preloaded: int = 0,
     ) -> None:
         self.store, self.record, self.name = store, record, name
         self.lag_s, self.promote_s, self.work_s = lag_s, promote_s, work_s
         self.lock = threading.RLock()
+        self.received = threading.Condition(self.lock)
+        self.sync_replicas = sync_replicas
+        self.promoted: list[Database] = []
+        self.ran_at: list[tuple[str, float]] = []
         self.hold_answer = None
         self.databases = [
             Database(self, f"i-{name}-{number}", zone)
             for number, zone in enumerate(zones)
         ]
         self.databases[0].role = "primary"
+        for database in self.databases:
+            database.log = [(1, f"old-{n}", "x") for n in range(preloaded)]
         store.promote = self.promote
         for database in self.databases:
             database.start()
@@ -359,6 +404,18 @@
             database.log.append((database.term, item, value))
         number = len(database.log)
         threading.Timer(self.lag_s, self._ship, (database, number)).start()
+        while database.is_running and self._receivers(database, number) < (
+            self.sync_replicas
+        ):
+            self.received.wait(0.1)
+        if not database.is_running:
+            raise OSError("the process has ended")
+
+    def _receivers(self, source: Database, number: int) -> int:
+        return sum(
+            other is not source and other.is_running and len(other.log) >= number
+            for other in self.databases
+        )
 
     def _ship(self, source: Database, number: int) -> None:
         with self.lock:
@@ -370,12 +427,14 @@
                     other is not source
                     and other.is_running
                     and not other.is_deaf
+                    and not other.is_copying
                     and other.role == "replica"
                     and behind
                     and other.term <= source.term
                 ):
                     other.term = source.term
                     other.log = list(source.log[:number])
+            self.received.notify_all()
 
     def promote(self, service: str, name: str) -> bool:
         """Have a database lead the next term some hundred ms later."""
@@ -395,6 +454,8 @@
                 return
             chosen.term = max(d.term for d in self.databases) + 1
             chosen.role = "primary"
+            chosen.is_copying = False
+            self.promoted.append(chosen)
             self.record.add("leads", chosen.name, "term", chosen.term, chosen.position)
             for other in self.databases:
                 if other is not chosen and other.is_running:
@@ -610,7 +671,9 @@
         self.sync_replicas, self.rate = sync_replicas, rate
         self.version = 0
         self.configure()
-        self.group = Group(self.store, record, service, zones, **group)
+        self.group = Group(
+            self.store, record, service, zones, sync_replicas=sync_replicas, **group
+        )
         self.vms = [
             Vm(
                 self,
