--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,13 +22,30 @@
 REPOSITORY = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(REPOSITORY / "tests" / "platform_adapter"))
 
-from standin_platform import StandInStore, free_port  # noqa: E402
+from standin_platform import StandInStore  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.2
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
+_given: set[int] = set()
+
+
+def free_port() -> int:
+    """Return an unused port below those that outgoing connections get."""
+    while True:
+        port = random.randint(12000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given:
+            _given.add(port)
+            return port
+
+
 class NotRun(Exception):
     """The case could not be run."""
 
