--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -681,12 +681,14 @@
         max_connections: int = 21,
         sync_replicas: int = 0,
         rate: float = 400.0,
+        timeout_ms: int = 1000,
         **group: float,
     ) -> None:
         self.folder, self.record, self.zones = folder, record, zones
         self.store = Store()
         self.service, self.max_connections = service, max_connections
         self.sync_replicas, self.rate = sync_replicas, rate
+        self.timeout_ms = timeout_ms
         self.version = 0
         self.configure()
         self.group = Group(
@@ -715,7 +717,7 @@
                 "Host": f"db-{kind.partition('_')[0]}",
                 "Service": self.service,
                 "Kind": kind,
-                "TimeoutMs": 1000,
+                "TimeoutMs": self.timeout_ms,
                 "TargetLatencyMs": 400,
                 "MaxStalenessMs": 1500,
                 "Priority": 1,
