--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -153,6 +153,34 @@
                 self.role = "replica"
         self.start()
 
+    def leave(self) -> None:
+        """End for good after a drain; the entry is removed."""
+        self.stop()
+        self.group.store.remove("servers", self.name)
+
+    def succeed(self, name: str, missing: int, after_s: float) -> Database:
+        """Start a new database at this address, to which the log is transferred.
+
+        The last ``missing`` commits follow after a time, unless it leads before.
+        """
+        new = Database(self.group, name, self.zone)
+        new.port, new.address = self.port, self.address
+        new.term, new.is_copying = self.term, True
+        with self.group.lock:
+            new.log = self.log[: len(self.log) - missing]
+            databases = self.group.databases
+            databases[databases.index(self)] = new
+        new.start()
+
+        def complete() -> None:
+            with self.group.lock:
+                if new.role == "replica" and new.is_copying:
+                    new.log, new.is_copying = list(self.log), False
+                    self.group.record.add(new.name, "has the whole log")
+
+        threading.Timer(after_s, complete).start()
+        return new
+
     def _copy(self, entries_per_s: float, born: int) -> None:
         while self.is_running and self.born == born:
             time.sleep(1 / entries_per_s)
@@ -274,7 +302,7 @@
                     f"by {self._who}",
                     f"id {request}",
                     repr(text),
-                    f"rows {rows}",
+                    f"rows {rows if len(rows) < 9 else len(rows)}",
                     outcome,
                     ready,
                 )
@@ -351,8 +379,9 @@
         return [], mac
 
     def _send(self, *lines: str) -> None:
-        data = "".join(f"{line}\r\n" for line in lines).encode()
-        self._connection.sendall(data)
+        for start in range(0, len(lines), 500):
+            part = lines[start : start + 500]
+            self._connection.sendall("".join(f"{x}\r\n" for x in part).encode())
 
 
 def _key(position: str) -> tuple[int, int]:
@@ -385,6 +414,8 @@
         self.sync_replicas = sync_replicas
         self.promoted: list[Database] = []
         self.ran_at: list[tuple[str, float]] = []
+        self.rows_by_item: dict[str, int] = {}
+        self.row_bytes = 1000
         self.hold_answer = None
         self.databases = [
             Database(self, f"i-{name}-{number}", zone)
@@ -411,7 +442,12 @@
         )
 
     def read(self, database: Database, item: str) -> list[str]:
-        """Return the newest data of an item; no row if there is none."""
+        """Return the newest data of an item; no row if there is none.
+
+        An item that is in ``rows_by_item`` has that many rows.
+        """
+        if item in self.rows_by_item:
+            return ["x" * self.row_bytes] * self.rows_by_item[item]
         found = [data for _, name, data in database.log if name == item]
         return found[-1:]
 
@@ -524,7 +560,8 @@
             line = self._file.readline().decode().rstrip("\r\n")
         except OSError:
             line = ""
-        self._record.add("answered", self.name, repr(line))
+        if not line.startswith("DATAROW x"):
+            self._record.add("answered", self.name, repr(line))
         return line
 
     def query(self, text: str) -> tuple[list[str], str]:
@@ -637,6 +674,16 @@
             self.process.wait()
             self._deployment.record.add("process", self.name, "killed")
 
+    def memory_mb(self) -> float:
+        """Return the resident memory of the process, 0 if it doesn't run."""
+        if self.process is None or self.process.poll() is not None:
+            return 0.0
+        try:
+            pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        except (OSError, IndexError):
+            return 0.0
+        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
     def is_ready(self) -> bool:
         """Return whether the ready probe is answered with 200."""
         host, _, port = self.ready.rpartition(":")
@@ -788,9 +835,9 @@
     with tempfile.TemporaryDirectory() as temporary:
         try:
             held = play(Path(temporary), record)
-        except (NotRun, OSError) as error:
-            record.add("not run:", error)
-            print(f"not run: {error}")
+        except Exception as error:
+            record.add("not run:", repr(error))
+            print(f"not run: {error!r}")
             return NOT_RUN
     record.add("held" if held else "BROKEN")
     print("held" if held else "broken")
