Let a process count until others have what the primary had after its end

A database without the last commits was promoted while they were on their way to it.

Cause: what was true of a log at one time was used for another log or time. Ruled out: a longer LOG_SETTLED_S (no time is stated for a transfer), and asking more often (commits come between any last answer and the end).

Change: what counts is a process (id, address, time of birth). Each one that may have received a commit counts until k others, each with its own log, have reached the end of the primary's log that was read after it had ended. The log that a primary was promoted with counts in the same way, since it may be in no other log. The stored row names the processes that count, so the next holder knows of those that ended. Without a reading the primary's return is awaited for 15 s at most, as before for silent replicas; what is then given up lowers the number of logs that have each commit. Before a request the chosen replica must have answered in that round, and the list is read once more, since a target that has just started again may have answered under its id.

Calm operation asks and writes nothing, as before.

--- a/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/promotion.py
@@ -22,6 +22,8 @@
 from guavabarrow_core.store_position import NO_POSITION, StorePosition
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from guavabarrow_core.log_position import LogPosition
     from guavabarrow_core.session_messages import TargetStatus
 
@@ -124,9 +126,11 @@
         Whether the primary's absence from the list is the reason.
     has_log : bool
         Whether the service's log is known to have held anything.
-    incomplete_ids : frozenset of str
-        Replicas that may have lost commits with a former log. What they hold now is not
-        compared.
+    ended_count : int
+        Further processes that may have received commits and can't answer any more.
+    copies : int
+        Logs, of those of the replicas and of these processes, that have each
+        acknowledged commit.
     """
 
     service: str
@@ -140,7 +144,8 @@
     is_failed_by_vote: bool = False
     is_absent: bool = False
     has_log: bool = False
-    incomplete_ids: frozenset[str] = frozenset()
+    ended_count: int = 0
+    copies: int = 1
     stage: PromotionStage = PromotionStage.MARKING
     chosen_id: str = ""
     started_at: float = 0.0
@@ -202,7 +207,7 @@
             self.final_position = old.received
         has_waited = now - self.compared_at >= CATCH_UP_TIMEOUT_S
         if self.sync_replicas > 0:
-            chosen = self._complete_replica(now)
+            chosen = self._complete_replica(status_by_id, now)
             if chosen is None and has_waited and self._can_return_to(old):
                 self.stage = PromotionStage.REVERTING
                 return [MarkSettled(self.old_primary_id, self.term)]
@@ -244,12 +249,27 @@
         self,
         candidates: tuple[str, ...],
         other_replicas: tuple[str, ...],
-        incomplete_ids: frozenset[str] = frozenset(),
+        *,
+        ended_count: int = 0,
+        copies: int = 1,
     ) -> None:
         """Replace the replicas, which may join and leave during a long replacement."""
         self.candidates = candidates
         self.other_replicas = other_replicas
-        self.incomplete_ids = incomplete_ids
+        self.ended_count = ended_count
+        self.copies = copies
+
+    def forget(self, target_ids: Collection[str]) -> None:
+        """Drop the answers of targets whose process has ended."""
+        for target_id in target_ids:
+            self.status_by_id.pop(target_id, None)
+
+    def on_restarted(self) -> list[PromotionAction]:
+        """Handle that a target started again after it had answered; compare anew."""
+        if self.stage is not PromotionStage.PROMOTING:
+            return []
+        self.stage = PromotionStage.COMPARING
+        return [ReadStatuses(self._status_targets())]
 
     def on_settled(self) -> None:
         """Handle the row being marked as settled."""
@@ -305,29 +325,35 @@
         ]
         return max(promoted, key=lambda key: self.status_by_id[key].term, default=None)
 
-    def _complete_replica(self, now: float) -> str | None:
-        """Return a replica that has all acknowledged commits, None if none is known."""
+    def _complete_replica(self, answered: Collection[str], now: float) -> str | None:
+        """Return a replica that has all acknowledged commits, None if none is known.
+
+        One that doesn't answer now may be starting again without its log.
+        """
         received_by_id = {
             target_id: self.status_by_id[target_id].received
             for target_id in self._replicas
-            if target_id in self.status_by_id and target_id not in self.incomplete_ids
+            if target_id in self.status_by_id
         }
         end_by_id = {
             target_id: received
             for target_id, received in received_by_id.items()
             if received is not None
         }
-        counted = len(self._replicas) - (len(received_by_id) - len(end_by_id))
+        empty_count = len(received_by_id) - len(end_by_id)
+        counted = len(self._replicas) + self.ended_count - empty_count
         if not end_by_id:
             return self._first_without_log(counted)
         required = max(end_by_id.values())
-        required_count = max(1, counted - self.sync_replicas + 1)
+        required_count = max(1, counted - self.copies + 1)
         if self.final_position is not None and self.final_position >= required:
             required = self.final_position
         elif len(end_by_id) < required_count:
             # An old primary whose log ends earlier has started again without it.
             return None
-        complete = [key for key, end in end_by_id.items() if end >= required]
+        complete = [
+            key for key, end in end_by_id.items() if end >= required and key in answered
+        ]
         if now - self.refused_at > REFUSED_RETRY_S:
             self.refused_ids.difference_update(complete)
         return next((key for key in complete if key not in self.refused_ids), None)
--- a/packages/guavabarrow-core/tests/test_promotion.py
+++ b/packages/guavabarrow-core/tests/test_promotion.py
@@ -149,12 +149,21 @@
     [action] = compare_replicas(promotion, statuses)
     assert action == ReadStatuses(("r1", "r2", "d1", "p"))
     assert isinstance(promotion.on_statuses(statuses, 60.0)[0], ReadStatuses)
-    actions = promotion.on_statuses({"d1": status_at(12)}, 60.1)
-    assert actions[-1] == RequestPromotion("r2")
+    statuses = {"r2": status_at(12), "d1": status_at(12)}
+    assert promotion.on_statuses(statuses, 60.1)[-1] == RequestPromotion("r2")
+
+
+def test_a_replica_that_does_not_answer_any_more_is_not_promoted():
+    """It may be starting again without its log, which the list doesn't show yet."""
+    promotion = start_durable()
+    statuses = {"r1": status_at(12), "r2": status_at(9)}
+    compare_replicas(promotion, statuses)
+    late = promotion.on_statuses({"r2": status_at(9), "d1": status_at(9)}, 0.2)
+    assert isinstance(late[0], ReadStatuses)
 
 
 def test_fewer_replicas_suffice_if_more_have_each_commit():
-    promotion = start_durable(sync_replicas=2)
+    promotion = start_durable(sync_replicas=2, copies=2)
     actions = compare_replicas(promotion, {"r1": status_at(12), "d1": status_at(12)})
     assert actions[-1] == RequestPromotion("r1")
 
@@ -280,14 +289,39 @@
     assert actions[-1] == RequestPromotion("r1")
 
 
-def test_what_a_replica_without_its_former_log_holds_is_not_compared():
-    promotion = start_durable(incomplete_ids=frozenset({"d1"}))
+def test_a_process_that_has_ended_counts_as_one_that_does_not_answer():
+    """It may have been the only one with the last commits."""
+    promotion = start_durable(ended_count=1)
     statuses = {"r1": status_at(9), "r2": status_at(9), "d1": status_at(3)}
     assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
     promotion.set_replicas(("r1", "r2"), ("d1",))
     assert promotion.on_statuses(statuses, 0.2)[-1] == RequestPromotion("r1")
 
 
+def test_the_answer_of_a_former_process_is_not_compared():
+    """Its successor may have received more than the others."""
+    promotion = start_durable()
+    statuses = {"r1": status_at(9), "r2": status_at(9)}
+    assert isinstance(compare_replicas(promotion, statuses)[0], ReadStatuses)
+    promotion.forget(["r1"])
+    statuses = {"r2": status_at(9), "d1": status_at(9)}
+    assert isinstance(promotion.on_statuses(statuses, 0.2)[0], ReadStatuses)
+    statuses["r1"] = status_at(12)
+    assert promotion.on_statuses(statuses, 0.3)[-1] == RequestPromotion("r1")
+
+
+def test_replicas_are_compared_anew_if_one_started_again_after_it_answered():
+    promotion = start_durable()
+    statuses = {"r1": status_at(12), "r2": status_at(9), "d1": status_at(9)}
+    assert compare_replicas(promotion, statuses)[-1] == RequestPromotion("r1")
+    promotion.forget(["r1"])
+    assert isinstance(promotion.on_restarted()[0], ReadStatuses)
+    promotion.set_replicas(("r1", "r2"), ("d1",), ended_count=1)
+    statuses["r1"] = status_at(2)
+    late = promotion.on_statuses(statuses, 0.2)
+    assert isinstance(late[0], ReadStatuses)
+
+
 def test_a_primary_that_is_listed_again_is_kept():
     """It is replaced because it was missing from the list, and for nothing else."""
     promotion = start_durable(is_absent=True)
--- a/packages/guavabarrow-core/tests/test_replica_set.py
+++ b/packages/guavabarrow-core/tests/test_replica_set.py
@@ -5,7 +5,12 @@
 import pytest
 
 from guavabarrow_core.log_position import LogPosition
-from guavabarrow_core.replica_set import GONE_AFTER_S, LOG_SETTLED_S, ReplicaSet
+from guavabarrow_core.replica_set import (
+    CHECK_INTERVAL_S,
+    FOLLOW_UP_INTERVAL_S,
+    GONE_AFTER_S,
+    ReplicaSet,
+)
 from guavabarrow_core.session_messages import TargetStatus
 from guavabarrow_core.target_directory import TargetEntry
 
@@ -32,7 +37,7 @@
         self.replicas = ReplicaSet(sync_replicas)
         self.listed = [entry("p"), entry("a"), entry("b")]
         self.now = 0.0
-        self.replicas.follow_primary("p", 1)
+        self.replicas.restore("p", 1, [entry("a"), entry("b")], self.now)
         self.replicas.update(self.listed, self.now)
 
     def unlist(self, target_id: str) -> None:
@@ -40,14 +45,14 @@
         self.replicas.update(self.listed, self.now)
 
     def ask(
-        self, *, ended=(), replaced=(), unasked=(), is_leading=True, **end_by_id
+        self, *, ended=(), replaced=(), unasked=(), primary_id="p", **end_by_id
     ) -> None:
         self.now += ROUND_S
         self.replicas.update(self.listed, self.now)
         statuses = {
             target_id: TargetStatus(
-                is_primary=target_id == "p" and is_leading,
-                term=1,
+                is_primary=target_id == primary_id,
+                term=self.replicas.term,
                 received=None if index is None else LogPosition(1, index),
             )
             for target_id, index in end_by_id.items()
@@ -56,7 +61,11 @@
             statuses,
             ended,
             replaced,
-            asked_ids=set(self.replicas.replica_by_id) - set(unasked),
+            asked=[
+                replica.entry
+                for target_id, replica in self.replicas.replica_by_id.items()
+                if target_id not in unasked
+            ],
             asked_at=self.now,
             now=self.now + 0.01,
         )
@@ -67,7 +76,18 @@
 
     @property
     def gone(self) -> list[str]:
-        return [target_id for target_id, _ in self.replicas.remove_gone(self.now)]
+        gone = self.replicas.remove_gone(self.now)
+        return [replica.entry.target_id for replica, _ in gone]
+
+    @property
+    def ended(self) -> list[str]:
+        self.replicas.remove_gone(self.now)
+        return [replica.entry.target_id for replica in self.replicas.ended]
+
+    def restart(self, target_id: str, born_ms: int = 2) -> None:
+        changed = entry(target_id, born_ms=born_ms)
+        self.listed = [e if e.target_id != target_id else changed for e in self.listed]
+        self.replicas.update(self.listed, self.now)
 
 
 def test_a_replica_without_an_entry_counts_as_long_as_it_answers():
@@ -207,77 +227,216 @@
     assert rounds.ids == ("b", "c")
 
 
-@pytest.mark.parametrize("end", [None, 4, 8])
+@pytest.mark.parametrize("end", [None, 4, 8, 9])
 def test_a_target_at_its_address_does_not_have_the_log_yet(end):
-    """Its entry counted as the proof that the log was transferred."""
+    """The end that was known before a drained target ended counted as its last one."""
     rounds = Rounds()
     rounds.ask(p=9, a=9, b=5)
     rounds.unlist("a")
     rounds.listed.append(entry("n", host=entry("a").host))
     for _ in range(6):
-        rounds.ask(ended=["a"], replaced=["a"], b=5, n=end)
-    assert set(rounds.ids) == {"a", "b", "n"}
-    rounds.ask(ended=["a"], replaced=["a"], b=5, n=9)
-    assert "a" in rounds.ids
-    while rounds.now < 10.0 + LOG_SETTLED_S and "a" in rounds.ids:
-        rounds.ask(ended=["a"], replaced=["a"], b=5, n=9)
+        rounds.ask(ended=["a"], replaced=["a"], p=12, b=5, n=end)
     assert set(rounds.ids) == {"b", "n"}
-    assert rounds.gone == ["a"]
+    assert rounds.ended == ["a"]
+    for _ in range(6):
+        rounds.ask(ended=["a"], replaced=["a"], p=12, b=5, n=12)
+    assert rounds.ended == []
 
 
-def test_a_replica_that_started_without_its_log_is_incomplete_until_it_has_one():
+def test_an_end_that_was_read_before_a_target_was_replaced_releases_nothing():
+    """It commits until it ends, and the primary crashes before it is asked again."""
     rounds = Rounds()
     rounds.ask(p=9, a=9, b=5)
-    rounds.ask(p=9, a=None, b=5)
-    assert rounds.replicas.incomplete_ids(rounds.now) == {"a"}
-    rounds.ask(p=9, a=8, b=5)
-    assert rounds.replicas.incomplete_ids(rounds.now) == {"a"}
+    rounds.unlist("a")
+    rounds.listed.append(entry("n", host=entry("a").host))
+    for _ in range(6):
+        rounds.ask(replaced=["a"], b=5, n=9)
+    assert rounds.ended == ["a"]
+
+
+@pytest.mark.parametrize("end", [None, 8, 9, 11])
+def test_a_replica_that_started_again_does_not_stand_for_its_former_process(end):
+    """It was whole once its log reached what its former process had minutes ago."""
+    rounds = Rounds()
     rounds.ask(p=9, a=9, b=5)
-    assert rounds.replicas.incomplete_ids(rounds.now) == set()
+    rounds.restart("a")
+    for _ in range(6):
+        rounds.ask(p=12, a=end, b=5)
+    assert rounds.ended == ["a"]
+    assert rounds.ids == ("b", "a")
+    rounds.ask(p=12, a=12, b=5)
+    assert rounds.ended == []
 
 
-def test_a_replica_without_its_former_log_stays_incomplete_while_it_is_silent():
-    """An answer that it gave before must not stand for its former log."""
+def test_a_shorter_log_is_that_of_another_process():
+    """It started again, and the list doesn't show it yet."""
     rounds = Rounds()
     rounds.ask(p=9, a=9, b=5)
     rounds.ask(a=3, b=5)
-    rounds.ask(b=5)
-    assert rounds.replicas.incomplete_ids(rounds.now) == {"a"}
+    rounds.ask(a=9, b=5)
+    assert rounds.ended == ["a"]
+    assert [r.entry.target_id for r in rounds.replicas.take_ended()] == ["a"]
+    assert rounds.replicas.take_ended() == []
 
 
-def test_a_replica_that_started_again_under_its_id_is_incomplete():
-    """It was never asked before, so it isn't known what its former process had."""
+def test_a_process_that_answered_before_its_entry_was_read_counts_once():
+    """The primary is lost, so its entry names the process that answered."""
     rounds = Rounds()
-    rounds.listed[1] = entry("a", born_ms=2)
-    rounds.ask(a=7, b=5, is_leading=False)
-    assert rounds.replicas.incomplete_ids(rounds.now) == {"a"}
-    rounds.now += GONE_AFTER_S
-    assert rounds.replicas.incomplete_ids(rounds.now) == set()
+    rounds.ask(p=9, a=9, b=5)
+    rounds.ask(a=3, b=5)
+    rounds.restart("a")
+    rounds.ask(a=3, b=5)
+    assert rounds.ended == ["a"]
 
 
-def test_a_replica_that_started_again_is_complete_once_it_has_all_commits():
+def test_an_answer_to_a_former_process_is_not_taken_for_its_successor():
+    """The list showed the new process while the question was under way."""
+    rounds = Rounds()
+    asked = [entry("a"), entry("b")]
+    rounds.restart("a")
+    rounds.replicas.record(
+        {"a": TargetStatus(False, 1, LogPosition(1, 9))},
+        (),
+        (),
+        asked=asked,
+        asked_at=0.0,
+        now=0.1,
+    )
+    assert rounds.replicas.replica_by_id["a"].end is None
+
+
+def test_a_process_without_a_successor_is_given_up_after_the_limit():
+    """The primary's return is waited for, as only it may have the commits."""
     rounds = Rounds()
-    rounds.listed[1] = entry("a", born_ms=2)
     rounds.ask(p=9, a=9, b=5)
+    rounds.restart("a")
+    rounds.ask(p=12, a=3, b=5)
+    lost_at = rounds.now
+    while rounds.now < lost_at + GONE_AFTER_S - ROUND_S:
+        rounds.ask(a=3, b=5)
+        assert rounds.replicas.ended_count(rounds.now) == 1
+    for _ in range(2):
+        rounds.ask(a=3, b=5)
+    assert rounds.replicas.ended_count(rounds.now) == 0
+    # The next primary may be lost too, before the others have its log.
+    rounds.replicas.follow_primary("a", 2, rounds.now)
+    assert rounds.replicas.ended_count(rounds.now) == 2
+
+
+@pytest.mark.parametrize("is_restarted", [True, False])
+def test_each_process_that_is_given_up_leaves_a_commit_in_one_log_less(is_restarted):
+    """Of four logs of which two have each commit, two may then lack one."""
+    rounds = Rounds(sync_replicas=2)
+    rounds.listed += [entry("c"), entry("d")]
+    rounds.ask(p=9, a=9, b=9, c=5, d=5)
+    if is_restarted:
+        rounds.restart("a")
+    else:
+        rounds.unlist("a")
+    rounds.ask(p=12, b=12, c=5, d=5)
+    assert rounds.replicas.copies(rounds.now) == 2
+    for _ in range(int(GONE_AFTER_S / ROUND_S) + 1):
+        rounds.ask(b=12, c=5, d=5)
+    assert rounds.replicas.copies(rounds.now) == 1
+
+
+def test_a_process_counts_as_long_as_the_primary_commits_without_the_others():
+    rounds = Rounds()
+    rounds.restart("a")
+    for index in range(100):
+        rounds.ask(p=9 + index, a=3, b=5)
+    assert rounds.ended == ["a"]
+
+
+def test_two_processes_of_one_target_count_until_both_are_released():
+    rounds = Rounds()
     rounds.ask(p=9, a=9, b=5)
+    rounds.restart("a")
+    rounds.ask(p=12, a=10, b=5)
+    rounds.restart("a", born_ms=3)
+    rounds.ask(p=12, a=None, b=5)
+    assert rounds.ended == ["a", "a"]
+    for _ in range(2):
+        rounds.ask(p=12, a=None, b=12)
+    assert rounds.ended == []
+
+
+def test_fewer_than_the_synchronous_replicas_release_nothing():
+    """The one that is left isn't enough if each commit was in two logs."""
+    rounds = Rounds(sync_replicas=2)
+    rounds.ask(p=9, a=9, b=9)
+    rounds.restart("a")
+    for _ in range(4):
+        rounds.ask(p=9, a=3, b=9)
+    assert rounds.ended == ["a"]
+    rounds.ask(p=9, a=9, b=9)
+    assert rounds.ended == []
+
+
+def test_the_entry_of_a_process_that_was_released_does_not_bring_it_back():
+    """It stays listed for three check-ins after its target has ended."""
+    rounds = Rounds()
+    rounds.listed.append(entry("n", host=entry("a").host))
+    for _ in range(4):
+        rounds.ask(ended=["a"], replaced=["a"], p=9, b=9, n=9)
+    assert rounds.ended == []
+    rounds.ask(p=9, b=9, n=9)
+    assert rounds.ids == ("b", "n")
+
+
+def test_another_vm_knows_of_a_process_that_ended():
+    """The row had its target's present entry alone, so its log was forgotten."""
+    rounds = Rounds()
     rounds.ask(p=9, a=9, b=5)
-    assert rounds.replicas.incomplete_ids(rounds.now) == set()
+    rounds.restart("a")
+    other = ReplicaSet(1)
+    other.restore("p", 1, rounds.replicas.counted_entries, rounds.now)
+    other.update(rounds.listed, rounds.now)
+    assert [replica.entry.born_ms for replica in other.ended] == [1]
+    assert set(other.replica_ids(rounds.now)) == {"a", "b"}
+
+
+def test_the_log_that_a_primary_was_promoted_with_counts_until_others_have_it():
+    """It may be in no other log, and two that answer may both lack it."""
+    rounds = Rounds(sync_replicas=2)
+    rounds.listed.append(entry("c"))
+    rounds.ask(p=9, a=9, b=9, c=5)
+    rounds.replicas.follow_primary("a", 2, rounds.now)
+    assert rounds.ended == ["a"]
+    other = ReplicaSet(2)
+    other.restore("a", 2, rounds.replicas.counted_entries, rounds.now)
+    assert [replica.entry.target_id for replica in other.ended] == ["a"]
+    for end in (5, 9, 9):
+        rounds.ask(primary_id="a", p=9, a=9, b=9 if end == 9 else 5, c=end)
+    assert rounds.ended == []
+    assert "a" not in [e.target_id for e in rounds.replicas.counted_entries]
+
+
+def test_the_primary_is_asked_once_more_at_once_when_a_process_has_ended():
+    rounds = Rounds()
+    rounds.ask(p=9, a=9, b=9)
+    assert rounds.replicas.check_interval_s == CHECK_INTERVAL_S
+    rounds.unlist("a")
+    rounds.ask(ended=["a"], p=9, b=9)
+    assert rounds.replicas.check_interval_s == FOLLOW_UP_INTERVAL_S
+    rounds.ask(ended=["a"], p=9, b=9)
+    assert rounds.replicas.check_interval_s == CHECK_INTERVAL_S
 
 
-def test_a_replica_that_never_held_anything_is_not_incomplete():
+def test_a_replica_that_never_held_anything_counts_for_itself_alone():
     rounds = Rounds()
     rounds.listed.append(entry("n"))
     rounds.ask(p=9, a=9, b=9, n=None)
-    assert rounds.replicas.incomplete_ids(rounds.now) == set()
+    assert rounds.ended == []
 
 
 def test_a_new_primary_begins_anew():
     """Replicas that were ahead of it are rolled back, and have lost nothing."""
     rounds = Rounds()
     rounds.ask(p=9, a=12, b=9)
-    rounds.replicas.follow_primary("b", 2)
+    rounds.replicas.follow_primary("b", 2, rounds.now)
     rounds.ask(a=9, b=9)
-    assert rounds.replicas.incomplete_ids(rounds.now) == set()
+    assert rounds.ended == ["b"]
 
 
 def test_a_check_is_due_only_if_something_has_changed():
@@ -285,8 +444,7 @@
     assert rounds.replicas.is_check_due()
     rounds.ask(p=9, a=9, b=9)
     assert not rounds.replicas.is_check_due()
-    rounds.listed[1] = entry("a", born_ms=2)
-    rounds.replicas.update(rounds.listed, rounds.now)
+    rounds.restart("a")
     assert rounds.replicas.is_check_due()
 
 
@@ -296,8 +454,8 @@
     assert not rounds.replicas.is_check_due()
 
 
-def test_entries_that_another_vm_remembers_count():
+def test_entries_that_this_vm_remembers_count():
     rounds = Rounds()
-    rounds.replicas.restore([entry("a", born_ms=7), entry("r")], rounds.now)
+    rounds.replicas.add_unlisted([entry("a", born_ms=7), entry("r")], rounds.now)
     assert rounds.ids == ("a", "b", "r")
     assert rounds.replicas.replica_by_id["a"].entry.born_ms == 1
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/promotion_service.py
@@ -373,11 +373,9 @@
         candidates = [e.target_id for e in usable if e.target_id != primary_id]
         others: list[str] = []
         if self._replica_watch.sync_replicas(service) > 0:
-            others = [
-                target_id
-                for target_id in self._replica_watch.replica_ids(service)
-                if target_id not in candidates and target_id != primary_id
-            ]
+            counted = self._replica_watch.replica_ids(service)
+            candidates = [key for key in candidates if key in counted]
+            others = [key for key in counted if key not in (*candidates, primary_id)]
         return tuple(candidates), tuple(others)
 
     def _prepare_switchover(self, primary_row: LeadRow, entry: TargetEntry) -> None:
@@ -556,6 +554,11 @@
                 self._directory.confirm_entry(entry)
         self._update_replicas(promotion, answers)
         actions = promotion.on_statuses(statuses, now_s())
+        if promotion.sync_replicas > 0 and promotion.stage is PromotionStage.PROMOTING:
+            # A target that has just started again may have answered under its id.
+            await self._directory.refresh()
+            if self._forget_ended(promotion):
+                actions = promotion.on_restarted()
         log_decision(
             "replicas_compared",
             service=promotion.service,
@@ -567,7 +570,8 @@
             },
             chosen=promotion.chosen_id,
             unanswered=[key for key in target_ids if key not in statuses],
-            incomplete=sorted(promotion.incomplete_ids),
+            ended=promotion.ended_count,
+            copies=promotion.copies,
         )
         if promotion.is_planned and promotion.stage is PromotionStage.REVERTING:
             self._retry_at_by_service[promotion.service] = now_s() + SWITCHOVER_RETRY_S
@@ -591,12 +595,24 @@
                 promotion.is_absent = False
         candidates, others = self._replicas(service, promotion.old_primary_id)
         if promotion.sync_replicas > 0:
-            incomplete_ids = self._replica_watch.incomplete_ids(service)
-            promotion.set_replicas(candidates, others, incomplete_ids)
+            for target_id in self._forget_ended(promotion):
+                answers.status_by_id.pop(target_id, None)
+            promotion.set_replicas(
+                candidates,
+                others,
+                ended_count=self._replica_watch.ended_count(service),
+                copies=self._replica_watch.copies(service),
+            )
         else:
             joined = dict.fromkeys([*promotion.candidates, *candidates])
             promotion.set_replicas(tuple(joined), ())
 
+    def _forget_ended(self, promotion: Promotion) -> set[str]:
+        """Drop what targets answered before their process ended; return the targets."""
+        ended_ids = self._replica_watch.take_ended_ids(promotion.service)
+        promotion.forget(ended_ids)
+        return ended_ids
+
     async def _request_promotion(
         self, promotion: Promotion, target_id: str
     ) -> list[Any]:
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/replica_watch.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/fleet/replica_watch.py
@@ -1,8 +1,10 @@
 """Tracks the replicas of services with synchronous replicas, at the duty holder.
 
 The set of replicas is kept in the shared table, because a new holder may never have
-seen the entry of a replica that isn't listed at the moment. While all replicas are
-listed and none is draining, nothing is asked and nothing is written.
+seen the entry of a replica that isn't listed at the moment, nor the end of one. A
+process is added to the row when it is listed, and removed once it doesn't count any
+more. While all replicas are listed and none is draining, nothing is asked and nothing
+is written.
 """
 
 from __future__ import annotations
@@ -15,7 +17,7 @@
     ReplicasRow,
     replicas_row_key,
 )
-from guavabarrow_core.replica_set import GONE_AFTER_S, ReplicaSet
+from guavabarrow_core.replica_set import GONE_AFTER_S, ReplicaSet, process_identity
 from guavabarrow_daemon.fleet.directory_service import DirectoryService
 from guavabarrow_daemon.fleet.duty_service import DutyService
 from guavabarrow_daemon.fleet.fleet_service import FleetService
@@ -28,16 +30,11 @@
 from guavabarrow_daemon.targets.target_admin_client import TargetAdminClient
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from guavabarrow_core.target_directory import TargetEntry
     from guavabarrow_daemon.targets.target_admin_client import StatusRound
 
-CHECK_INTERVAL_S = 0.5
-"""Interval between queries to a service's targets while a replica isn't listed, drains
-or has lost its log."""
-
-FOLLOW_UP_INTERVAL_S = 0.1
-"""The same once a replica was found to have ended, as the primary may fail next."""
-
 ROW_RETRY_S = 1.0
 """Pause after a write of a service's row."""
 
@@ -58,6 +55,7 @@
         self._set_by_service: dict[str, ReplicaSet] = {}
         self._checked_at_by_service: dict[str, float] = {}
         self._written_at_by_service: dict[str, float] = {}
+        self._ended_ids_by_service: dict[str, set[str]] = {}
         self._checking: set[str] = set()
 
     async def start(self) -> None:
@@ -76,9 +74,18 @@
         """Return the replicas of a service whose logs matter, listed or not."""
         return self._updated_set(service).replica_ids(now_s())
 
-    def incomplete_ids(self, service: str) -> frozenset[str]:
-        """Return the replicas that may have lost commits with a former log."""
-        return self._updated_set(service).incomplete_ids(now_s())
+    def ended_count(self, service: str) -> int:
+        """Return the number of processes that have ended and still count."""
+        return self._updated_set(service).ended_count(now_s())
+
+    def copies(self, service: str) -> int:
+        """Return how many logs of those that count have each acknowledged commit."""
+        return self._updated_set(service).copies(now_s())
+
+    def take_ended_ids(self, service: str) -> set[str]:
+        """Return the targets whose process was found to have ended since last asked."""
+        self._updated_set(service)
+        return self._ended_ids_by_service.pop(service, set())
 
     def has_log(self, service: str) -> bool:
         """Return whether any target of a service is known to have held a commit."""
@@ -103,39 +110,59 @@
             answers.status_by_id,
             answers.ended_ids,
             answers.replaced_ids,
-            asked_ids=answers.asked_ids,
+            asked=answers.asked,
             asked_at=answers.asked_at,
             now=now,
         )
-        for target_id, reason in replicas.remove_gone(now):
+        self._report_ended(service, replicas)
+        for replica, reason in replicas.remove_gone(now):
             self._metrics.replicas_gone.labels(service, reason).inc()
             log_decision(
-                "replica_gone", service=service, target=target_id, reason=reason
+                "replica_gone",
+                service=service,
+                target=replica.entry.target_id,
+                born_ms=replica.entry.born_ms,
+                reason=reason,
+                ended_s=None if replica.ended_at is None else now - replica.ended_at,
+            )
+
+    def _report_ended(self, service: str, replicas: ReplicaSet) -> None:
+        for replica in replicas.take_ended():
+            target_id = replica.entry.target_id
+            self._ended_ids_by_service.setdefault(service, set()).add(target_id)
+            log_decision(
+                "replica_ended",
+                service=service,
+                target=target_id,
+                born_ms=replica.entry.born_ms,
+                end=str(replica.end),
             )
 
     def _updated_set(self, service: str) -> ReplicaSet:
         now = now_s()
         replicas = self._set_by_service.get(service)
+        primary_row = self._fleet.state.primary_row(service)
+        listed = self._directory.directory.of_service(service)
         if replicas is None:
             replicas = ReplicaSet(self.sync_replicas(service))
-            replicas.restore(self._remembered_entries(service), now)
             self._set_by_service[service] = replicas
         replicas.sync_replicas = self.sync_replicas(service)
-        primary_row = self._fleet.state.primary_row(service)
-        is_settled = primary_row is not None and primary_row.phase is LeadPhase.SETTLED
-        if primary_row is not None and (is_settled or not replicas.primary_id):
-            replicas.follow_primary(primary_row.primary_id, primary_row.term)
-        replicas.update(self._directory.directory.of_service(service), now)
+        if primary_row is not None and not replicas.primary_id:
+            row = self._fleet.state.replicas_row(service)
+            counted = self._valid_entries(service, row.entries if row else ())
+            replicas.restore(primary_row.primary_id, primary_row.term, counted, now)
+            # The row may lack a target that registered while there was no holder.
+            recent = self._directory.recently_removed(service, GONE_AFTER_S)
+            replicas.add_unlisted(self._valid_entries(service, recent), now)
+        elif primary_row is not None and primary_row.phase is LeadPhase.SETTLED:
+            replicas.follow_primary(primary_row.primary_id, primary_row.term, now)
+        replicas.update(listed, now)
+        self._report_ended(service, replicas)
         return replicas
 
-    def _remembered_entries(self, service: str) -> list[TargetEntry]:
-        """Return entries that the holder before, or this VM, has seen.
-
-        The row may lack a target that has registered while there was no holder.
-        """
-        row = self._fleet.state.replicas_row(service)
-        entries = list(row.entries) if row is not None else []
-        entries += self._directory.recently_removed(service, GONE_AFTER_S)
+    def _valid_entries(
+        self, service: str, entries: Iterable[TargetEntry]
+    ) -> list[TargetEntry]:
         valid = []
         for entry in entries:
             try:
@@ -163,12 +190,10 @@
         replicas = self._updated_set(service)
         self._store(service, replicas, now)
         checked_at = self._checked_at_by_service.get(service, float("-inf"))
-        is_follow_up = replicas.is_follow_up_due()
-        interval_s = FOLLOW_UP_INTERVAL_S if is_follow_up else CHECK_INTERVAL_S
         if (
             replicas.is_check_due()
             and service not in self._checking
-            and now - checked_at >= interval_s
+            and now - checked_at >= replicas.check_interval_s
         ):
             self._checked_at_by_service[service] = now
             self._checking.add(service)
@@ -190,15 +215,14 @@
 
     def _store(self, service: str, replicas: ReplicaSet, now: float) -> None:
         """Write the row of a service's replicas if it isn't up to date."""
-        entries = tuple(
-            replica.entry for _, replica in sorted(replicas.replica_by_id.items())
-        )[:MAX_REPLICAS]
+        entries = replicas.counted_entries[:MAX_REPLICAS]
         row = self._fleet.state.replicas_row(service)
         key = replicas_row_key(service)
         is_stored = (
             row is not None
             and not self._fleet.state.is_former(key)
-            and [_identity(e) for e in row.entries] == [_identity(e) for e in entries]
+            and [*map(process_identity, row.entries)]
+            == [*map(process_identity, entries)]
         )
         written_at = self._written_at_by_service.get(service, float("-inf"))
         if is_stored or now - written_at < ROW_RETRY_S:
@@ -207,7 +231,3 @@
         self.kernel.tasks.start(
             "replicas_store", self._fleet.write(key, ReplicasRow(service, entries))
         )
-
-
-def _identity(entry: TargetEntry) -> tuple[str, str, int, int]:
-    return (entry.target_id, entry.host, entry.port, entry.born_ms)
--- a/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_admin_client.py
+++ b/packages/guavabarrow-daemon/src/guavabarrow_daemon/targets/target_admin_client.py
@@ -45,7 +45,7 @@
     ----------
     asked_at : float
         Local time of the queries, in s.
-    asked_ids : frozenset of str
+    asked : list of TargetEntry
         Targets that were asked.
     status_by_id : dict of str to TargetStatus
         Statuses of the targets that answered.
@@ -56,7 +56,7 @@
     """
 
     asked_at: float
-    asked_ids: frozenset[str]
+    asked: list[TargetEntry]
     status_by_id: dict[str, TargetStatus] = field(default_factory=dict)
     ended_ids: set[str] = field(default_factory=set)
     replaced_ids: set[str] = field(default_factory=set)
@@ -107,7 +107,7 @@
 
     async def ask(self, entries: list[TargetEntry]) -> StatusRound:
         """Ask targets for their status; those without an answer are told apart."""
-        answers = StatusRound(now_s(), frozenset(e.target_id for e in entries))
+        answers = StatusRound(now_s(), entries)
         replies = [
             Deferred.fromCoroutine(self._ask(entry, answers)) for entry in entries
         ]
--- a/packages/guavabarrow-daemon/tests/sim_platform.py
+++ b/packages/guavabarrow-daemon/tests/sim_platform.py
@@ -522,8 +522,7 @@
     async def ask(self, entries: list[TargetEntry]) -> StatusRound:
         """Ask all targets at the same time."""
         self._group.status_rounds += 1
-        asked_ids = frozenset(entry.target_id for entry in entries)
-        answers = StatusRound(self._group.network.now, asked_ids)
+        answers = StatusRound(self._group.network.now, entries)
         asked = [Deferred.fromCoroutine(self._ask(e, answers)) for e in entries]
         await DeferredList(asked)
         return answers
--- a/packages/guavabarrow-daemon/tests/test_sync_replicas.py
+++ b/packages/guavabarrow-daemon/tests/test_sync_replicas.py
@@ -66,6 +66,16 @@
     fleet.assert_invariants()
 
 
+def assert_return_is_awaited(fleet: SimFleet, primary: SimTarget) -> None:
+    """Crash a primary, the only one with the last commits, for some seconds."""
+    fleet.group.crash(primary)
+    fleet.run(7.0)
+    assert fleet.group.promotion_calls == []
+    fleet.group.restart(primary)
+    fleet.run_until(lambda: fleet.is_serving(primary.target_id), FAILOVER_S)
+    assert_nothing_lost(fleet)
+
+
 def test_a_draining_replica_is_promoted_if_only_it_has_all_commits(fleet):
     """A deaf replica was promoted, because draining ones were left out."""
     fleet.target("east").is_draining = True
@@ -323,18 +333,90 @@
     new = replace_drained_replica(fleet)
     end = fleet.target("east").received
     fleet.group.crash(fleet.target("north"))
-    for received in (0, end // 2, end // 2 + 1):
+    for received in (0, end // 2, end // 2 + 1, end - 1):
         new.received = received
         fleet.run(2.0)
         assert fleet.group.promotion_calls == []
-    new.received = end - 1
-    fleet.run(0.5)
-    assert fleet.group.promotion_calls == []
     new.received = end
-    fleet.run_until(lambda: fleet.is_serving("target-new"), FAILOVER_S)
+    fleet.run_until(lambda: fleet.is_serving("target-new"), 18.0 - 4 * 2.0)
+    assert_nothing_lost(fleet)
+
+
+def test_a_log_that_is_transferred_up_to_an_old_end_is_not_whole(fleet):
+    """A drained replica commits until it ends, after it was asked for the last time.
+
+    The primary has the rest, crashes while it is on its way, and comes back with it.
+    """
+    fleet.target("west").is_deaf = True
+    fleet.run(1.0)
+    east, north = fleet.target("east"), fleet.target("north")
+    east.is_draining = True
+    fleet.run(3.0)
+    fleet.group.crash(east)
+    new = SimTarget("target-new", "east", east.host, False, is_deaf=True)
+    new.received = east.received - 3
+    fleet.group.targets.append(new)
+    fleet.run(0.7)
+    assert_return_is_awaited(fleet, north)
+
+
+def test_a_lost_primary_holds_up_the_successor_of_a_drained_replica_for_the_limit(
+    fleet,
+):
+    """The primary that has the rest never returns; a change is over within 18 s."""
+    fleet.target("west").is_deaf = True
+    east = fleet.target("east")
+    east.is_draining = True
+    fleet.run(3.0)
+    fleet.group.crash(east)
+    new = SimTarget("target-new", "east", east.host, False, is_deaf=True)
+    new.received = east.received
+    fleet.group.targets.append(new)
+    fleet.run(0.2)
+    fleet.group.crash(fleet.target("north"))
+    fleet.run_until(lambda: fleet.is_serving("target-new"), 18.0)
     assert_nothing_lost(fleet)
 
 
+def start_again_empty(target: SimTarget, received: int = 0) -> None:
+    """Start a target under its id; the log is copied to it from the start."""
+    target.received, target.is_deaf, target.is_alive = received, True, True
+    target.born_ms += 1
+
+
+def test_a_log_that_is_copied_up_to_an_old_end_is_not_whole(fleet):
+    """A replica that started again was whole once it had what it had minutes ago."""
+    fleet.target("west").is_deaf = True
+    fleet.run(2.0)
+    east, north = fleet.target("east"), fleet.target("north")
+    start_again_empty(east, fleet.target("west").received + 5)
+    fleet.run(2.0)
+    assert_return_is_awaited(fleet, north)
+
+
+def test_the_next_holder_knows_that_a_replica_lost_its_log(fleet):
+    """It took the replica, which answers and holds nothing, for one that never did."""
+    fleet.target("west").is_deaf = True
+    fleet.run(2.0)
+    east, north = fleet.target("east"), fleet.target("north")
+    start_again_empty(east)
+    fleet.run(3.0)
+    former = fleet.holder()
+    fleet.kill(former)
+    fleet.run_until(lambda: fleet.holder() not in ("", former), RECOVERY_S)
+    fleet.run(2.0)
+    assert_return_is_awaited(fleet, north)
+
+
+def test_a_replica_that_starts_again_just_before_a_promotion_is_not_promoted(fleet):
+    """The list shows its new process only when it is read the next time."""
+    fleet.target("west").is_deaf = True
+    fleet.run(2.0)
+    east, north = fleet.target("east"), fleet.target("north")
+    start_again_empty(east, east.received - 3)
+    assert_return_is_awaited(fleet, north)
+
+
 def test_a_service_without_commits_gets_a_new_primary(monkeypatch):
     """All replicas hold nothing, and none of them has lost anything."""
     fleet = SimFleet(monkeypatch)
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -342,7 +342,7 @@
     ),
     Mutation(
         "promotion",
-        "required_count = max(1, counted - self.sync_replicas + 1)",
+        "required_count = max(1, counted - self.copies + 1)",
         "required_count = 1",
         "test_promotion",
     ),
@@ -426,10 +426,28 @@
     ),
     Mutation(
         "promotion",
-        "counted = len(self._replicas) - (len(received_by_id) - len(end_by_id))",
+        "counted = len(self._replicas) + self.ended_count - empty_count",
         "counted = len(received_by_id)",
         "test_promotion",
     ),
+    Mutation(
+        "promotion",
+        "counted = len(self._replicas) + self.ended_count - empty_count",
+        "counted = len(self._replicas) - empty_count",
+        "test_promotion",
+    ),
+    Mutation(
+        "promotion",
+        "if end >= required and key in answered",
+        "if end >= required",
+        "test_promotion",
+    ),
+    Mutation(
+        "promotion",
+        "            self.status_by_id.pop(target_id, None)\n",
+        "            pass\n",
+        "test_promotion",
+    ),
     Mutation(
         "promotion",
         "if unknown > 0 or self.has_log or self.final_position is not None:",
@@ -450,15 +468,15 @@
     ),
     Mutation(
         "replica_set",
-        "            and reaches(other.latest, replica.end)\n",
-        "",
-        "test_replica_set",
+        "return len(holders) >= max(1, self.sync_replicas)",
+        "return True",
+        "test_replacement_model",
     ),
     Mutation(
         "replica_set",
-        "return len(holders) >= max(1, min(self.sync_replicas, len(replicas) - 1))",
-        "return True",
-        "test_replacement_model",
+        "return len(holders) >= max(1, self.sync_replicas)",
+        "return len(holders) >= 1",
+        "test_replica_set",
     ),
     Mutation(
         "replica_set",
@@ -468,23 +486,72 @@
     ),
     Mutation(
         "replica_set",
-        "            if leads and not replica.is_listed and not is_covered:\n"
         "                replica.needed_at = now\n",
-        "",
+        "                pass\n",
         "test_replica_set",
     ),
     Mutation(
         "replica_set",
-        "if replica.ended_since is not None and replica.ended_since >= read_at:",
-        "if False:",
+        "and replica.ended_at >= reading.asked_at:\n            return False",
+        "and False:\n            return False",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "self.ended.append(Replica(promoted.entry, now, False, ended_at=now))",
+        "pass",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "        if not reaches(end, replica.end):",
+        "        if False:",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "            if replica is None or replica.entry.born_ms != entry.born_ms:",
+        "            if replica is None:",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "        if entry.target_id in self.replica_by_id:\n"
+        "            self._end(entry.target_id, now)\n",
+        "",
         "test_replica_set",
     ),
     Mutation(
         "replica_set",
-        "            and now - other.unchanged_since >= LOG_SETTLED_S\n",
+        "            elif entry.target_id in replaced_ids:\n"
+        "                self._end(entry.target_id, now)\n",
         "",
         "test_replica_set",
     ),
+    Mutation(
+        "replica_set",
+        "given_up = sum(self._is_given_up(replica, now) for replica in self.ended)",
+        "given_up = 0",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "return now - max(self._led_at, replica.needed_at) >= GONE_AFTER_S",
+        "return False",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "elif identity not in self._released and not self._has_ended(identity):",
+        "else:",
+        "test_replica_set",
+    ),
+    Mutation(
+        "replica_set",
+        "            self._led_at = self._led_at if primary.is_silent else now",
+        "            self._led_at = now",
+        "test_replica_set",
+    ),
     Mutation(
         "replica_set",
         "        if not self.is_silent:\n            self.needed_at = now\n",
