Compare replicas while the primary of a service doesn't answer

A primary that missed one question counted as not leading until the next round, and none was due if all else was known: its last answer, however old, was then taken for the time at which it was lost, and processes that had ended could be given up at once. A check is now due while the primary is silent.

test_a_check_is_due_while_the_primary_does_not_answer fails before.

--- a/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
@@ -453,14 +453,21 @@
     def is_check_due(self) -> bool:
         """Return whether the logs of the targets should be compared now.
 
-        In calm operation it is enough to know that each replica holds something.
+        In calm operation it is enough to know that each replica holds something, and
+        that the primary led when it was last asked.
         """
-        return bool(self.ended) or any(
-            not replica.is_listed
-            or replica.entry.is_draining
-            or replica.ended_at is not None
-            or not self._is_log_known(replica)
-            for replica in self._replicas()
+        primary = self.replica_by_id.get(self.primary_id)
+        is_primary_silent = primary is not None and primary.is_silent
+        return (
+            bool(self.ended)
+            or is_primary_silent
+            or any(
+                not replica.is_listed
+                or replica.entry.is_draining
+                or replica.ended_at is not None
+                or not self._is_log_known(replica)
+                for replica in self._replicas()
+            )
         )
 
     @property
--- a/packages/guavabarrow-core/tests/test_replica_set.py
+++ b/packages/guavabarrow-core/tests/test_replica_set.py
@@ -448,6 +448,16 @@
     assert rounds.replicas.is_check_due()
 
 
+def test_a_check_is_due_while_the_primary_does_not_answer():
+    """Else its last answer would be taken for the time at which it was lost."""
+    rounds = Rounds()
+    rounds.ask(p=9, a=9, b=9)
+    rounds.ask(a=9, b=9)
+    assert rounds.replicas.is_check_due()
+    rounds.ask(p=9, a=9, b=9)
+    assert not rounds.replicas.is_check_due()
+
+
 def test_no_check_is_due_while_the_service_has_no_commit():
     rounds = Rounds()
     rounds.ask(p=None, a=None, b=None)
