Ignore the answers of a round of queries that was overtaken

A round ends with its slowest target, so its other answers may be recorded after newer ones, or after the primary was replaced. The shorter log looked like that of a new process, and its former one was then waited for, for up to 15 s while no primary leads. Rounds that were asked before the last recorded one, or before the present term, are ignored now.

test_a_round_that_was_overtaken_shows_no_shorter_log fails before in both forms.

--- a/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
@@ -181,7 +181,7 @@
         if (primary_id, term) == (self.primary_id, self.term):
             return
         self.primary_id, self.term = primary_id, term
-        self._led_at = now
+        self._led_at = self._asked_at = now
         self._reading = None
         for replica in (*self.replica_by_id.values(), *self.ended):
             replica.end = None
@@ -199,7 +199,7 @@
         The primary is among them until the log that it was promoted with is released.
         """
         self.primary_id, self.term = primary_id, term
-        self._led_at = now
+        self._led_at = self._asked_at = now
         for entry in sorted(entries, key=lambda entry: entry.born_ms):
             if entry.target_id == primary_id:
                 self.ended.append(Replica(entry, now, False, ended_at=now))
@@ -285,7 +285,9 @@
         asked_at: float,
         now: float,
     ) -> None:
-        """Record the answers of one round of queries.
+        """Record the answers of one round of queries, unless it was overtaken.
+
+        Older answers than the known ones would look like those of new processes.
 
         Parameters
         ----------
@@ -300,6 +302,8 @@
         asked_at, now : float
             Local times of the queries and of the answers, in s.
         """
+        if asked_at < self._asked_at:
+            return
         for entry in asked:
             replica = self.replica_by_id.get(entry.target_id)
             if replica is None or replica.entry.born_ms != entry.born_ms:
--- a/packages/guavabarrow-core/tests/test_replica_set.py
+++ b/packages/guavabarrow-core/tests/test_replica_set.py
@@ -299,12 +299,31 @@
         (),
         (),
         asked=asked,
-        asked_at=0.0,
-        now=0.1,
+        asked_at=rounds.now,
+        now=rounds.now + 0.1,
     )
     assert rounds.replicas.replica_by_id["a"].end is None
 
 
+@pytest.mark.parametrize("is_new_term", [True, False])
+def test_a_round_that_was_overtaken_shows_no_shorter_log(is_new_term):
+    """One target answers late, while another round or a replacement goes on."""
+    rounds = Rounds()
+    rounds.ask(p=12, a=12, b=12)
+    if is_new_term:
+        rounds.replicas.follow_primary("b", 2, rounds.now)
+    rounds.replicas.record(
+        {"a": TargetStatus(False, 1, LogPosition(1, 9))},
+        (),
+        (),
+        asked=[entry("a")],
+        asked_at=rounds.now - 0.1,
+        now=rounds.now,
+    )
+    assert rounds.replicas.take_ended() == []
+    assert rounds.replicas.replica_by_id["a"].end != LogPosition(1, 9)
+
+
 def test_a_process_without_a_successor_is_given_up_after_the_limit():
     """The primary's return is waited for, as only it may have the commits."""
     rounds = Rounds()
