--- a/packages/guavabarrow-core/tests/test_replacement_model.py
+++ b/packages/guavabarrow-core/tests/test_replacement_model.py
@@ -315,13 +315,9 @@
 
     @rule(number=st.integers(0, 4), copied=st.integers(0, 2))
     def lose_replica(self, number: int, copied: int) -> None:
-        """A replica starts again under its id; the log is copied to it, or nothing.
-
-        It can write its entry; durability.md names what isn't covered otherwise.
-        """
+        """A replica starts again under its id; the log is copied to it, or nothing."""
         database = self.pick(number)
-        is_heard = not database.is_unheard
-        if is_heard and database.incoming is None and self.is_spare(database):
+        if database.incoming is None and self.is_spare(database):
             database.start_again([], self.now)
             database.copied, database.is_deaf = copied, copied == 0
 
@@ -352,7 +348,6 @@
     @rule()
     def lose_primary(self) -> None:
         """The primary starts again under its id and holds nothing."""
-        self.primary.is_unheard = False
         self.primary.start_again([], self.now)
         self.primary.copied = 1
 
@@ -604,3 +599,17 @@
             suppress_health_check=list(HealthCheck),
         ),
     )
+
+
+def test_a_replica_that_restarts_cut_off_from_the_store_is_not_taken_for_its_former():
+    """Its new entry isn't written, so its log is taken for that of its former process."""
+    for copied, is_holder_replaced in ((0, True), (1, False)):
+        model = ReplacementModel()
+        model.begin(size=3, sync_replicas=1)
+        model.receive_alone(number=0, from_vms=False, from_store=True, ticks=2)
+        model.lose_replica(number=0, copied=copied)
+        model.wait(2)
+        if is_holder_replaced:
+            model.replace_holder()
+        model.crash_primary(ticks=10, comes_back=True)
+        model.nothing_is_lost()
