--- a/packages/guavabarrow-core/tests/test_replacement_model.py
+++ b/packages/guavabarrow-core/tests/test_replacement_model.py
@@ -602,7 +602,7 @@
 
 
 def test_a_replica_that_restarts_cut_off_from_the_store_is_not_taken_for_its_former():
-    """Its new entry isn't written, so its log is taken for that of its former process."""
+    """Its new entry isn't written, so its log counts as its former process's."""
     for copied, is_holder_replaced in ((0, True), (1, False)):
         model = ReplacementModel()
         model.begin(size=3, sync_replicas=1)
