--- a/packages/guavabarrow-daemon/tests/test_sync_replicas.py
+++ b/packages/guavabarrow-daemon/tests/test_sync_replicas.py
@@ -378,43 +378,41 @@
     assert_nothing_lost(fleet)
 
 
-def start_again_empty(target: SimTarget, received: int = 0) -> None:
-    """Start a target under its id; the log is copied to it from the start."""
-    target.received, target.is_deaf, target.is_alive = received, True, True
-    target.born_ms += 1
+def restart_last_copy(fleet: SimFleet, received: int | None) -> None:
+    """Start the only replica with the last commits again, under its id.
+
+    The log has been copied to it up to an end; None for all but three commits.
+    """
+    fleet.target("west").is_deaf = True
+    fleet.run(2.0)
+    east = fleet.target("east")
+    east.received = east.received - 3 if received is None else received
+    east.is_deaf = True
+    east.born_ms += 1
 
 
 def test_a_log_that_is_copied_up_to_an_old_end_is_not_whole(fleet):
     """A replica that started again was whole once it had what it had minutes ago."""
-    fleet.target("west").is_deaf = True
-    fleet.run(2.0)
-    east, north = fleet.target("east"), fleet.target("north")
-    start_again_empty(east, fleet.target("west").received + 5)
+    restart_last_copy(fleet, fleet.target("west").received + 5)
     fleet.run(2.0)
-    assert_return_is_awaited(fleet, north)
+    assert_return_is_awaited(fleet, fleet.target("north"))
 
 
 def test_the_next_holder_knows_that_a_replica_lost_its_log(fleet):
     """It took the replica, which answers and holds nothing, for one that never did."""
-    fleet.target("west").is_deaf = True
-    fleet.run(2.0)
-    east, north = fleet.target("east"), fleet.target("north")
-    start_again_empty(east)
+    restart_last_copy(fleet, 0)
     fleet.run(3.0)
     former = fleet.holder()
     fleet.kill(former)
     fleet.run_until(lambda: fleet.holder() not in ("", former), RECOVERY_S)
     fleet.run(2.0)
-    assert_return_is_awaited(fleet, north)
+    assert_return_is_awaited(fleet, fleet.target("north"))
 
 
 def test_a_replica_that_starts_again_just_before_a_promotion_is_not_promoted(fleet):
     """The list shows its new process only when it is read the next time."""
-    fleet.target("west").is_deaf = True
-    fleet.run(2.0)
-    east, north = fleet.target("east"), fleet.target("north")
-    start_again_empty(east, east.received - 3)
-    assert_return_is_awaited(fleet, north)
+    restart_last_copy(fleet, None)
+    assert_return_is_awaited(fleet, fleet.target("north"))
 
 
 def test_a_service_without_commits_gets_a_new_primary(monkeypatch):
