--- a/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
+++ b/packages/guavabarrow-core/src/guavabarrow_core/replica_set.py
@@ -45,6 +45,7 @@
 """The same once a process was found to have ended, as the primary may fail next."""
 
 HAS_ENDED = "its process has ended, and others have all commits"
+"""Reason in the log and label of the metric."""
 
 ProcessIdentity = tuple[str, str, int, int]
 """Id, host, port and time of birth of a target's process."""
@@ -189,7 +190,7 @@
             replica.is_covered = False
         promoted = self.replica_by_id.get(primary_id)
         if promoted is not None:
-            self.ended.append(Replica(promoted.entry, now, False, ended_at=now))
+            self._add_debt(promoted.entry, now)
 
     def restore(
         self, primary_id: str, term: int, entries: Iterable[TargetEntry], now: float
@@ -202,10 +203,14 @@
         self._led_at = self._asked_at = now
         for entry in sorted(entries, key=lambda entry: entry.born_ms):
             if entry.target_id == primary_id:
-                self.ended.append(Replica(entry, now, False, ended_at=now))
+                self._add_debt(entry, now)
             else:
                 self._start(entry, now, is_listed=False)
 
+    def _add_debt(self, entry: TargetEntry, now: float) -> None:
+        """Count the log that a primary was promoted with until others have it."""
+        self.ended.append(Replica(entry, now, is_listed=False, ended_at=now))
+
     def add_unlisted(self, entries: Iterable[TargetEntry], now: float) -> None:
         """Add targets that were listed before, unless they are known."""
         for entry in entries:
@@ -227,8 +232,9 @@
         for replica in self.replica_by_id.values():
             replica.is_listed = replica.identity in identities
         primary = self.replica_by_id.get(self.primary_id)
-        if primary is not None and primary.is_listed and primary.entry.is_primary:
-            self._led_at = self._led_at if primary.is_silent else now
+        is_leading = primary is not None and primary.entry.is_primary
+        if primary and is_leading and primary.is_listed and not primary.is_silent:
+            self._led_at = now
 
     def _is_unnamed(self, replica: Replica) -> bool:
         """Return whether a process is only known by an answer, which its log showed.
--- a/tests/mutations/catalogue.py
+++ b/tests/mutations/catalogue.py
@@ -498,8 +498,8 @@
     ),
     Mutation(
         "replica_set",
-        "self.ended.append(Replica(promoted.entry, now, False, ended_at=now))",
-        "pass",
+        "            self._add_debt(promoted.entry, now)\n",
+        "            pass\n",
         "test_replica_set",
     ),
     Mutation(
@@ -548,8 +548,8 @@
     ),
     Mutation(
         "replica_set",
-        "            self._led_at = self._led_at if primary.is_silent else now",
-        "            self._led_at = now",
+        "if primary and is_leading and primary.is_listed and not primary.is_silent:",
+        "if primary and is_leading and primary.is_listed:",
         "test_replica_set",
     ),
     Mutation(
